--- a/include/chervilwick/agent/agent_daemon.h
+++ b/include/chervilwick/agent/agent_daemon.h
@@ -17,7 +17,7 @@
 #include "chervilwick/kernel/duty.h"
 #include "chervilwick/kernel/kernel.h"
 #include "chervilwick/kernel/timer_service.h"
-#include "chervilwick/platform/host_list_client.h"
+#include "chervilwick/store/host_list_client.h"
 #include "chervilwick/settings/settings.h"
 #include "chervilwick/support/bounded_ring.h"
 #include "chervilwick/telemetry/span_recorder.h"
--- a/include/chervilwick/config/version_store.h
+++ b/include/chervilwick/config/version_store.h
@@ -15,7 +15,7 @@
 
 #include "absl/time/time.h"
 #include "chervilwick/config/config_replica.h"
-#include "chervilwick/platform/kv.h"
+#include "chervilwick/store/kv.h"
 
 namespace chervilwick {
 
--- /dev/null
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -0,0 +1,42 @@
+// What discovery says of one backend server.
+
+#ifndef CHERVILWICK_DISPATCH_BACKEND_RECORD_H_
+#define CHERVILWICK_DISPATCH_BACKEND_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "chervilwick/dispatch/route_table.h"
+#include "chervilwick/net/socket.h"
+#include "chervilwick/support/ids.h"
+
+namespace chervilwick {
+
+enum class EngineStage {
+  kNone,     // a plain service
+  kPrefill,  // reads prompts and hands their KV cache over
+  kDecode,   // generates; can read a prompt itself, at half the speed
+};
+
+// One start of a backend server. An id that starts again has a later `born`.
+struct BackendRecord {
+  BackendName id;
+  ServiceName service;
+  Endpoint endpoint;
+  ZoneName zone;
+  bool draining = false;
+  EngineStage stage = EngineStage::kNone;
+  uint32_t slots = 1;
+  int64_t born_unix_ms = 0;
+
+  friend bool operator==(const BackendRecord& a, const BackendRecord& b) {
+    return a.id == b.id && a.service == b.service && a.endpoint == b.endpoint &&
+           a.zone == b.zone && a.draining == b.draining &&
+           a.stage == b.stage && a.slots == b.slots &&
+           a.born_unix_ms == b.born_unix_ms;
+  }
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_DISPATCH_BACKEND_RECORD_H_
--- /dev/null
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -0,0 +1,93 @@
+// Backend servers as one front knows them: discovery, use, and trust.
+
+#ifndef CHERVILWICK_DISPATCH_BACKEND_TABLE_H_
+#define CHERVILWICK_DISPATCH_BACKEND_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "chervilwick/dispatch/backend_record.h"
+#include "chervilwick/support/ids.h"
+
+namespace chervilwick {
+
+// What requests in flight take of a backend server.
+struct BackendUse {
+  int64_t requests = 0;
+  // Model engines: tokens of memory that running requests will need.
+  int64_t memory_tokens = 0;
+  // Engines that read prompts: tokens not read yet.
+  int64_t prompt_tokens = 0;
+
+  BackendUse& operator+=(const BackendUse& other);
+  BackendUse& operator-=(const BackendUse& other);
+  friend bool operator==(const BackendUse& a, const BackendUse& b) {
+    return a.requests == b.requests && a.memory_tokens == b.memory_tokens &&
+           a.prompt_tokens == b.prompt_tokens;
+  }
+};
+
+struct Backend {
+  BackendRecord record;
+  BackendUse own;    // by this front
+  BackendUse peers;  // by the other fronts, as they last said
+  // Host slowness that the server told last; 100 is the usual time.
+  uint32_t time_percent = 100;
+  // No requests until then: the last ones failed.
+  absl::Time suspect_until = absl::InfinitePast();
+  int failures_in_a_row = 0;
+  // No requests until then: it said that it is full.
+  absl::Time full_until = absl::InfinitePast();
+  absl::Time last_heard = absl::InfinitePast();
+  // Discovery's word of its removal is not believed until then.
+  std::optional<absl::Time> lapses_at;
+
+  BackendUse Total() const;
+};
+
+enum class BackendChange { kNone, kNew, kUpdated, kRestarted };
+
+class BackendTable {
+ public:
+  // Takes discovery's word. An older start of the same id changes nothing; a
+  // later one forgets all that was known, but for use that is still open.
+  BackendChange Upsert(const BackendRecord& record);
+  // Removes at once. False if there is none of that id.
+  bool Remove(const BackendName& id);
+  // Removes at `at` unless it comes back before.
+  void RemoveLater(const BackendName& id, absl::Time at);
+  // Removes those whose time has come, and returns them.
+  std::vector<BackendName> ExpireLapsed(absl::Time now);
+
+  Backend* Find(const BackendName& id);
+  const Backend* Find(const BackendName& id) const;
+  // Those of a service that may get new requests, trusted ones only unless
+  // there is none.
+  std::vector<Backend*> Candidates(const ServiceName& service, absl::Time now);
+
+  // A request broke off or got no answer there. Distrust doubles each time.
+  void ReportFailure(const BackendName& id, absl::Time now);
+  void ReportSuccess(const BackendName& id, absl::Time now);
+  void ReportFull(const BackendName& id, absl::Time now);
+
+  // Replaces what a peer uses by what it says now.
+  void SetPeerUse(const std::string& peer,
+                  const std::map<BackendName, BackendUse>& use);
+  std::map<BackendName, BackendUse> OwnUse() const;
+
+  const std::map<BackendName, Backend>& all() const { return backends_; }
+
+ private:
+  void AddPeers(const std::map<BackendName, BackendUse>& use, bool add);
+
+  std::map<BackendName, Backend> backends_;
+  std::map<std::string, std::map<BackendName, BackendUse>> peer_use_;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_DISPATCH_BACKEND_TABLE_H_
--- /dev/null
+++ b/include/chervilwick/dispatch/route_table.h
@@ -0,0 +1,93 @@
+// What an operator's version says of routes, services and client limits.
+
+#ifndef CHERVILWICK_DISPATCH_ROUTE_TABLE_H_
+#define CHERVILWICK_DISPATCH_ROUTE_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include "absl/strings/string_view.h"
+#include <vector>
+
+#include "absl/time/time.h"
+#include "chervilwick/support/ids.h"
+#include "chervilwick/support/strong_type.h"
+
+namespace chervilwick {
+
+// Group of backend servers that serve the same calls.
+using ServiceName = StrongType<struct ServiceNameTag, std::string>;
+
+enum class RouteKind {
+  kIdempotent,     // may run more than once
+  kNonIdempotent,  // runs at most once
+  kStream,         // events of a model engine; at most once unless resumable
+};
+
+struct WeightedService {
+  ServiceName service;
+  uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string prefix;  // begins and ends with a slash
+  RouteKind kind = RouteKind::kNonIdempotent;
+  absl::Duration timeout = absl::Seconds(10);
+  // Time to the answer, of a stream to the first event.
+  absl::Duration objective = absl::Seconds(1);
+  absl::Duration pause_objective = absl::Seconds(1);
+  int priority = 0;  // 0 is the most urgent
+  // Backend servers that one request may run on.
+  uint32_t attempts = 1;
+  bool resumable = false;
+  std::vector<WeightedService> services;
+
+  bool MayRepeat() const {
+    return kind == RouteKind::kIdempotent ||
+           (kind == RouteKind::kStream && resumable);
+  }
+};
+
+// Traits that all model engines of a service share.
+struct EngineTraits {
+  uint32_t slots = 1;
+  uint64_t memory_tokens = 0;
+  absl::Duration handle_lifetime = absl::Milliseconds(500);
+  absl::Duration max_hold = absl::Seconds(2);
+};
+
+struct ServiceTraits {
+  uint32_t max_connections = 64;
+  std::optional<EngineTraits> engine;  // services of model engines
+};
+
+struct ClientLimits {
+  size_t max_head_bytes = size_t{16} << 10;
+  size_t max_body_bytes = size_t{4} << 20;
+  absl::Duration head_timeout = absl::Seconds(3);
+  absl::Duration idle_timeout = absl::Seconds(15);
+};
+
+struct RouteTable {
+  VersionNumber version;
+  std::vector<Route> routes;
+  std::map<ServiceName, ServiceTraits> services;
+  ClientLimits limits;
+
+  // The route of that host (any case, port ignored) with the longest prefix of
+  // the target's path; null where there is none.
+  const Route* Match(absl::string_view host, absl::string_view target) const;
+  const Route* FindByName(const std::string& name) const;
+  const EngineTraits* FindEngine(const ServiceName& service) const;
+};
+
+// Picks a service by weight; `draw` is uniform over all values.
+const ServiceName& PickService(const Route& route, uint64_t draw);
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_DISPATCH_ROUTE_TABLE_H_
--- /dev/null
+++ b/include/chervilwick/front/front_context.h
@@ -0,0 +1,51 @@
+// What the parts of a front share.
+
+#ifndef CHERVILWICK_FRONT_FRONT_CONTEXT_H_
+#define CHERVILWICK_FRONT_FRONT_CONTEXT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "chervilwick/dispatch/backend_table.h"
+#include "chervilwick/dispatch/crash_suspects.h"
+#include "chervilwick/dispatch/retry_quota.h"
+#include "chervilwick/dispatch/stream_scheduler.h"
+#include "chervilwick/front/front_stats.h"
+#include "chervilwick/front/outside_protocol.h"
+#include "chervilwick/net/event_loop.h"
+#include "chervilwick/net/http_client.h"
+#include "chervilwick/net/http_server.h"
+#include "chervilwick/settings/settings.h"
+#include "chervilwick/telemetry/decision_log.h"
+
+namespace chervilwick {
+
+// Owned by the daemon; outlives every relay.
+struct FrontContext {
+  FrontContext(EventLoop& event_loop, const OutsideProtocol& outside,
+               const FrontSettings& front_settings);
+
+  EventLoop& loop;
+  const OutsideProtocol& protocol;
+  FrontSettings settings;
+  DecisionLog log;
+  FrontStats stats;
+  HttpClient client;
+  BackendTable backends;
+  StreamScheduler scheduler;
+  RetryQuota quota;
+  CrashSuspects suspects;
+  // Set by the daemon once it listens.
+  HttpServer* server = nullptr;
+  // Asks for another round of scheduling soon.
+  std::function<void()> wake_scheduler;
+  // The route by that name in the version in force; null if it is gone.
+  std::function<const Route*(const std::string&)> current_route;
+  // Traits of a service's engines in the version in force; null if unknown.
+  std::function<const EngineTraits*(const ServiceName&)> engine_traits;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_FRONT_FRONT_CONTEXT_H_
--- /dev/null
+++ b/include/chervilwick/front/front_daemon.h
@@ -0,0 +1,84 @@
+// Daemon that takes clients' requests on a platform that gives discovery.
+
+#ifndef CHERVILWICK_FRONT_FRONT_DAEMON_H_
+#define CHERVILWICK_FRONT_FRONT_DAEMON_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/random/random.h"
+#include "chervilwick/front/front_context.h"
+#include "chervilwick/front/peer_link.h"
+#include "chervilwick/front/relay.h"
+#include "chervilwick/front/store_sync.h"
+#include "chervilwick/front/stream_relay.h"
+
+namespace chervilwick {
+
+// One event loop for clients, backend servers, the store and other fronts.
+class FrontDaemon {
+ public:
+  // The settings file is read again on SIGHUP and when it changes.
+  FrontDaemon(const FrontSettings& settings, std::string settings_file,
+              const OutsideProtocol& protocol);
+  ~FrontDaemon();
+
+  // Returns why it can't start; nothing if it listens.
+  std::optional<std::string> Start();
+  // Runs until SIGTERM and the end of what was in flight. Returns whether
+  // nothing was cut.
+  bool Run();
+
+ private:
+  void OnRequest(ExchangeId id, const Endpoint& client, HttpRequest request);
+  void Admit(AdmittedRequest admitted);
+  void Reject(ExchangeId id, const RequestFacts& facts, int status,
+              absl::string_view reason);
+  void OnControlRequest(HttpServer& server, ExchangeId id,
+                        const HttpRequest& request);
+  void OnTable(const RouteTable& table);
+  void OnBackend(const BackendRecord& record);
+  void OnRemoved(const BackendName& id, absl::Time at);
+  void OnReachable(bool reachable, absl::string_view why);
+  void OnDigest(const PeerDigest& digest, const Endpoint& from);
+  void FetchPeerCopy();
+  void RunScheduler();
+  void Housekeep();
+  void ReloadSettings();
+  void ApplyLimits();
+  void BeginShutdown();
+  void CheckShutdown();
+  bool IsReady() const;
+  std::string Metrics() const;
+  std::string Status() const;
+
+  EventLoop loop_;
+  std::string settings_file_;
+  std::string settings_text_;
+  FrontContext context_;
+  HttpServer clients_;
+  HttpServer ready_;
+  HttpServer control_;
+  HttpServer metrics_;
+  StoreSync store_;
+  PeerLink peers_;
+  Timer scheduler_wake_;
+  absl::BitGen random_;
+  RouteTable table_;
+  std::map<ExchangeId, std::unique_ptr<Relay>> relays_;
+  std::map<ExchangeId, StreamRelay*> streams_;
+  CallId peer_copy_call_;
+  std::string peer_copy_;
+  absl::Time peer_copy_asked_ = absl::InfinitePast();
+  uint64_t peer_revision_ = 0;
+  std::optional<Endpoint> newest_peer_;
+  bool stopping_ = false;
+  bool was_ready_ = false;
+  absl::Time stop_began_;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_FRONT_FRONT_DAEMON_H_
--- /dev/null
+++ b/include/chervilwick/front/peer_link.h
@@ -0,0 +1,95 @@
+// What fronts tell each other.
+
+#ifndef CHERVILWICK_FRONT_PEER_LINK_H_
+#define CHERVILWICK_FRONT_PEER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "chervilwick/front/front_context.h"
+#include "chervilwick/net/socket.h"
+
+namespace chervilwick {
+
+// One front's state, sent as a datagram. A lost one is made good by the next.
+struct PeerDigest {
+  std::string sender;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  uint64_t store_revision = 0;
+  uint64_t waiting_streams = 0;
+  std::map<BackendName, BackendUse> use;
+  std::vector<CrashCount> crashes;
+  std::vector<Endpoint> peers;  // that the sender hears
+};
+
+std::string EncodeDigest(const PeerDigest& digest);
+// Nothing if the bytes are no digest.
+std::optional<PeerDigest> DecodeDigest(absl::string_view bytes);
+
+// Sends digests to the peers that the seeds name and that other peers hear of,
+// and forgets a peer that has been silent. Fronts find each other without a
+// call to the store.
+class PeerLink {
+ public:
+  struct Listener {
+    std::function<PeerDigest()> make_digest;
+    std::function<void(const PeerDigest&, const Endpoint& from)> on_digest;
+    std::function<void(const std::string& name)> on_lost;
+  };
+
+  PeerLink(FrontContext& context, Listener listener);
+  ~PeerLink();
+
+  // False with errno if the address can't be had.
+  bool Start();
+  // Addresses that are asked until a front answers there.
+  void SetSeeds(const std::string& seeds);
+  // Fronts that are heard, this one not included.
+  size_t alive() const { return alive_.size(); }
+  // Most fronts, this one included, that were alive within the last while.
+  uint32_t FrontsAssumed() const;
+  // Control address of a front that is heard or a seed; none if there is none.
+  std::optional<Endpoint> AnyControl() const;
+  Endpoint ControlOf(const Endpoint& peer) const;
+
+ private:
+  struct Peer {
+    std::string name;
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    uint64_t waiting_streams = 0;
+    absl::Time heard;
+  };
+
+  void OnReadable();
+  void OnDatagram(absl::string_view bytes, const Endpoint& from);
+  void Tick();
+  void Send(const PeerDigest& digest);
+  void ExpireSilent(absl::Time now);
+  void UpdateShares();
+
+  FrontContext& context_;
+  Listener listener_;
+  int socket_ = -1;
+  Endpoint self_;
+  uint16_t control_port_ = 0;
+  std::set<Endpoint> seeds_;
+  std::set<Endpoint> hearsay_;  // named by peers, not heard yet
+  std::map<Endpoint, Peer> alive_;
+  std::map<absl::Time, uint32_t> recent_sizes_;
+  std::map<BackendName, BackendUse> last_sent_use_;
+  uint64_t last_sent_waiting_ = 0;
+  absl::Time last_sent_ = absl::InfinitePast();
+  uint64_t incarnation_;
+  uint64_t sequence_ = 0;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_FRONT_PEER_LINK_H_
--- /dev/null
+++ b/include/chervilwick/front/plain_relay.h
@@ -0,0 +1,63 @@
+// Relay of a plain call: one answer, read whole before it is passed on.
+
+#ifndef CHERVILWICK_FRONT_PLAIN_RELAY_H_
+#define CHERVILWICK_FRONT_PLAIN_RELAY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "chervilwick/front/relay.h"
+
+namespace chervilwick {
+
+// Sends a call that may run once only to a second backend server only after the
+// first one certainly did not run it. Other calls may run again after a failure
+// and, when the answer is slow, beside the first run.
+class PlainRelay : public Relay {
+ public:
+  PlainRelay(FrontContext& context, AdmittedRequest admitted,
+             Finished finished);
+  ~PlainRelay() override;
+
+  void Start() override;
+  void OnClientGone() override;
+
+ protected:
+  void OnTimeout() override;
+
+ private:
+  struct Attempt {
+    CallId call;
+    BackendName backend;
+    HttpHead head;
+    std::string body;
+  };
+
+  void Send();
+  void OnEvent(uint32_t number, CallEvent event);
+  void OnFailure(uint32_t number, const CallFailure& failure);
+  void OnAnswer(uint32_t number);
+  void OnNotRun(const BackendName& backend, int status);
+  void OnSlow();
+  // Sends again if that is allowed, else ends the request.
+  void SendAgainOrEnd(bool costs_repeat, const Ending& otherwise);
+  void Deliver(const Attempt& attempt);
+  Attempt Take(uint32_t number);
+  void CancelAll();
+  bool MayRunAgain() const;
+
+  Timer slow_;
+  std::map<uint32_t, Attempt> attempts_;
+  std::set<BackendName> tried_;
+  // An engine's failure, delivered if no other run does better.
+  std::optional<Attempt> failure_answer_;
+  uint32_t sends_ = 0;
+  uint32_t runs_ = 0;  // sends that may have run
+  bool is_client_gone_ = false;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_FRONT_PLAIN_RELAY_H_
--- a/include/chervilwick/ledger/claim_log.h
+++ b/include/chervilwick/ledger/claim_log.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "chervilwick/platform/kv.h"
+#include "chervilwick/store/kv.h"
 #include "chervilwick/support/ids.h"
 
 namespace chervilwick {
--- a/include/chervilwick/membership/backend_directory.h
+++ b/include/chervilwick/membership/backend_directory.h
@@ -13,7 +13,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "chervilwick/config/routing_setup.h"
-#include "chervilwick/platform/host_list.h"
+#include "chervilwick/store/host_list.h"
 #include "chervilwick/support/ids.h"
 #include "chervilwick/wire/messages.h"
 
--- a/include/chervilwick/membership/subset.h
+++ b/include/chervilwick/membership/subset.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <vector>
 
-#include "chervilwick/platform/host_list.h"
+#include "chervilwick/store/host_list.h"
 
 namespace chervilwick {
 
--- /dev/null
+++ b/include/chervilwick/net/http_client.h
@@ -0,0 +1,92 @@
+// Event-driven HTTP/1.1 client with a pool of kept connections.
+
+#ifndef CHERVILWICK_NET_HTTP_CLIENT_H_
+#define CHERVILWICK_NET_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include "absl/strings/string_view.h"
+#include <variant>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "chervilwick/net/event_loop.h"
+#include "chervilwick/net/http_message.h"
+#include "chervilwick/net/socket.h"
+#include "chervilwick/support/strong_type.h"
+
+namespace chervilwick {
+
+// One call of a client; never used again in a process.
+using CallId = StrongType<struct CallIdTag, uint64_t>;
+
+// Why a call has no whole answer.
+enum class CallError {
+  kConnect,    // refused, unreachable or not established in time
+  kClosed,     // the connection ended before the end of the answer
+  kMalformed,  // bytes that are no answer
+};
+
+struct CallFailure {
+  CallError error = CallError::kConnect;
+  // Whether bytes of the request may have reached the server.
+  bool sent = false;
+};
+
+// What a call reports, in this order: a head, any number of parts, an end; or a
+// failure at any point, after which nothing follows.
+using CallEvent = std::variant<HttpHead, HttpBodyPart, HttpEnd, CallFailure>;
+using CallHandler = std::function<void(CallEvent)>;
+
+struct CallOptions {
+  absl::Duration connect_timeout = absl::Milliseconds(300);
+  // A kept connection is used only if it has been idle for less; the server
+  // may be closing one that has been idle for long.
+  absl::Duration max_idle = absl::Seconds(4);
+  // Answers to another request that arrive first are skipped: this accepts the
+  // head of the answer that belongs to the call. Empty accepts every head.
+  std::function<bool(const HttpHead&)> accepts;
+};
+
+class HttpClient {
+ public:
+  // `silence`: how long a peer may acknowledge nothing.
+  HttpClient(EventLoop& loop, absl::Duration silence);
+  ~HttpClient();
+
+  // Starts a call. The handler is not called before this returns.
+  CallId Start(const Endpoint& server, const HttpRequest& request,
+               const CallOptions& options, CallHandler handler);
+  // Ends a call and closes its connection; the handler hears no more.
+  void Cancel(CallId id);
+  // Closes the kept connections to a server.
+  void Forget(const Endpoint& server);
+  // Whether no byte of the request can have reached the server yet.
+  bool IsUnsent(CallId id) const;
+
+  size_t open_connections() const { return connections_.size(); }
+  uint64_t connections_made() const { return connections_made_; }
+
+ private:
+  class Connection;
+
+  Connection* TakeKept(const Endpoint& server, absl::Duration max_idle);
+  Connection* Connect(const Endpoint& server, absl::Duration timeout);
+  void Keep(Connection* connection);
+  void Remove(Connection* connection);
+
+  EventLoop& loop_;
+  absl::Duration silence_;
+  uint64_t next_id_ = 1;
+  uint64_t connections_made_ = 0;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<Endpoint, std::vector<Connection*>> kept_;
+  std::map<CallId, Connection*> calls_;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/include/chervilwick/net/http_server.h
@@ -0,0 +1,96 @@
+// Event-driven HTTP/1.1 server.
+
+#ifndef CHERVILWICK_NET_HTTP_SERVER_H_
+#define CHERVILWICK_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include "absl/strings/string_view.h"
+#include <vector>
+
+#include "absl/time/time.h"
+#include "chervilwick/net/event_loop.h"
+#include "chervilwick/net/http_message.h"
+#include "chervilwick/net/socket.h"
+#include "chervilwick/support/strong_type.h"
+
+namespace chervilwick {
+
+// One request on one connection; never used again in a process.
+using ExchangeId = StrongType<struct ExchangeIdTag, uint64_t>;
+
+// What a client may send, and how long it may take.
+struct HttpServerLimits {
+  size_t max_head_bytes = size_t{16} << 10;
+  size_t max_body_bytes = size_t{4} << 20;
+  absl::Duration head_timeout = absl::Seconds(3);
+  // From the end of the head to the end of the body.
+  absl::Duration body_timeout = absl::Seconds(30);
+  absl::Duration idle_timeout = absl::Seconds(15);
+  size_t max_connections = 3000;
+  // Bodies of all connections together.
+  size_t max_buffered_bytes = size_t{24} << 20;
+  // Output that a client has not taken before its connection is cut.
+  size_t max_output_bytes = size_t{1} << 20;
+};
+
+// Serves one request at a time on each connection; what a client sends ahead
+// waits in a bounded buffer. An exchange that has gone (client closed, answer
+// complete) ignores further calls.
+class HttpServer {
+ public:
+  struct Handlers {
+    // A whole request has been read.
+    std::function<void(ExchangeId, Endpoint client, HttpRequest)> on_request;
+    // The client closed its connection before its answer was complete.
+    std::function<void(ExchangeId)> on_client_gone;
+  };
+
+  HttpServer(EventLoop& loop, Handlers handlers);
+  ~HttpServer();
+
+  // False with errno if the address can't be had.
+  bool Listen(const Endpoint& endpoint);
+  void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  // Answers from now on close their connections.
+  void CloseAfterAnswers() { closing_ = true; }
+  // Closes the connections on which no request is read or answered.
+  void CloseIdle();
+  void StopListening();
+
+  void Respond(ExchangeId id, const HttpResponse& response);
+  void BeginStream(ExchangeId id, int status,
+                   const std::vector<HttpField>& fields);
+  void SendStream(ExchangeId id, absl::string_view bytes);
+  void EndStream(ExchangeId id);
+  // Cuts the connection, so that the answer can't look complete.
+  void Abort(ExchangeId id);
+
+  size_t open_connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  struct Listener;
+
+  Connection* Find(ExchangeId id);
+  void Accept(int socket, const Endpoint& client);
+  void Remove(Connection* connection);
+
+  EventLoop& loop_;
+  Handlers handlers_;
+  HttpServerLimits limits_;
+  bool closing_ = false;
+  uint64_t next_id_ = 1;
+  size_t buffered_bytes_ = 0;
+  std::unique_ptr<Listener> listener_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<ExchangeId, Connection*> exchanges_;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_NET_HTTP_SERVER_H_
--- a/include/chervilwick/settings/settings.h
+++ b/include/chervilwick/settings/settings.h
@@ -49,6 +49,34 @@
   uint32_t memory_pieces = 64;
 };
 
+// Settings of a front on a platform that gives discovery and configuration.
+struct FrontSettings {
+  std::string name;
+  std::string zone;
+  std::string clients;  // ip:port, clients' requests
+  std::string ready;    // ip:port, the balancer's readiness probes
+  std::string control;  // ip:port, state for other fronts and operators
+  std::string metrics;  // ip:port
+  std::string peers;    // ip:port, datagrams between fronts
+  std::string store;    // ip:port of the platform's store
+  // Control addresses of some fronts, parted by commas; may be out of date.
+  std::string seeds;
+  // From SIGTERM to the forced end.
+  absl::Duration shutdown_limit = absl::Seconds(8);
+  // Longest time without contact before a peer or a connection is given up.
+  absl::Duration contact_limit = absl::Seconds(3);
+  // Time within which a draining backend server gets no new request.
+  absl::Duration drain_limit = absl::Seconds(2);
+  // Repeated sends of all fronts: a share of the requests plus a constant, in
+  // any window.
+  double retry_ratio = 0.2;
+  double retry_slack = 50;
+  absl::Duration retry_window = absl::Seconds(10);
+  uint64_t memory_limit = uint64_t{110} << 20;
+};
+
+std::optional<FrontSettings> LoadFrontSettings(const std::string& file,
+                                               SettingsError& error);
 std::optional<EntrySettings> LoadEntrySettings(const std::string& file,
                                                SettingsError& error);
 std::optional<AgentSettings> LoadAgentSettings(const std::string& file,
@@ -60,6 +88,7 @@
   std::string allowed;
   bool required = false;
 };
+std::vector<SettingsKey> FrontSettingsKeys();
 std::vector<SettingsKey> EntrySettingsKeys();
 std::vector<SettingsKey> AgentSettingsKeys();
 
--- a/include/chervilwick/platform/host_list.h
+++ b/include/chervilwick/store/host_list.h
@@ -1,7 +1,7 @@
 // The platform's lagging list of hosts, as typed records.
 
-#ifndef CHERVILWICK_PLATFORM_HOST_LIST_H_
-#define CHERVILWICK_PLATFORM_HOST_LIST_H_
+#ifndef CHERVILWICK_STORE_HOST_LIST_H_
+#define CHERVILWICK_STORE_HOST_LIST_H_
 
 #include <optional>
 #include <string>
@@ -28,4 +28,4 @@
 
 }  // namespace chervilwick
 
-#endif  // CHERVILWICK_PLATFORM_HOST_LIST_H_
+#endif  // CHERVILWICK_STORE_HOST_LIST_H_
--- a/include/chervilwick/platform/host_list_client.h
+++ b/include/chervilwick/store/host_list_client.h
@@ -1,7 +1,7 @@
 // Reads the platform's host list at an interval.
 
-#ifndef CHERVILWICK_PLATFORM_HOST_LIST_CLIENT_H_
-#define CHERVILWICK_PLATFORM_HOST_LIST_CLIENT_H_
+#ifndef CHERVILWICK_STORE_HOST_LIST_CLIENT_H_
+#define CHERVILWICK_STORE_HOST_LIST_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -12,7 +12,7 @@
 #include "absl/time/time.h"
 #include "chervilwick/kernel/duty.h"
 #include "chervilwick/kernel/kernel.h"
-#include "chervilwick/platform/host_list.h"
+#include "chervilwick/store/host_list.h"
 
 namespace chervilwick {
 
@@ -42,4 +42,4 @@
 
 }  // namespace chervilwick
 
-#endif  // CHERVILWICK_PLATFORM_HOST_LIST_CLIENT_H_
+#endif  // CHERVILWICK_STORE_HOST_LIST_CLIENT_H_
--- a/include/chervilwick/platform/kv.h
+++ b/include/chervilwick/store/kv.h
@@ -1,8 +1,8 @@
 // Calls on the platform's key-value service, as typed values. The cores ask for
 // them and are handed the replies; a client performs them.
 
-#ifndef CHERVILWICK_PLATFORM_KV_H_
-#define CHERVILWICK_PLATFORM_KV_H_
+#ifndef CHERVILWICK_STORE_KV_H_
+#define CHERVILWICK_STORE_KV_H_
 
 #include <cstdint>
 #include <string>
@@ -80,4 +80,4 @@
 
 }  // namespace chervilwick
 
-#endif  // CHERVILWICK_PLATFORM_KV_H_
+#endif  // CHERVILWICK_STORE_KV_H_
--- a/include/chervilwick/platform/kv_client.h
+++ b/include/chervilwick/store/kv_client.h
@@ -1,7 +1,7 @@
 // Client of the platform's key-value service: etcd v3 over HTTP with JSON.
 
-#ifndef CHERVILWICK_PLATFORM_KV_CLIENT_H_
-#define CHERVILWICK_PLATFORM_KV_CLIENT_H_
+#ifndef CHERVILWICK_STORE_KV_CLIENT_H_
+#define CHERVILWICK_STORE_KV_CLIENT_H_
 
 #include <atomic>
 #include <cstdint>
@@ -10,7 +10,7 @@
 
 #include "chervilwick/kernel/duty.h"
 #include "chervilwick/kernel/kernel.h"
-#include "chervilwick/platform/kv.h"
+#include "chervilwick/store/kv.h"
 #include "chervilwick/support/bounded_ring.h"
 
 namespace chervilwick {
@@ -50,4 +50,4 @@
 
 }  // namespace chervilwick
 
-#endif  // CHERVILWICK_PLATFORM_KV_CLIENT_H_
+#endif  // CHERVILWICK_STORE_KV_CLIENT_H_
--- a/include/chervilwick/testbed/fake_store.h
+++ b/include/chervilwick/testbed/fake_store.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <string>
 
-#include "chervilwick/platform/kv.h"
+#include "chervilwick/store/kv.h"
 
 namespace chervilwick {
 
--- /dev/null
+++ b/lib/dispatch/backend_table.cc
@@ -0,0 +1,171 @@
+// Backend servers as one front knows them.
+
+#include "chervilwick/dispatch/backend_table.h"
+
+#include <algorithm>
+
+namespace chervilwick {
+namespace {
+
+// Failures in a row before a server is avoided; one may be the request's own.
+constexpr int kFailuresTolerated = 1;
+// First time of avoidance; it doubles with each further failure.
+constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(400);
+constexpr absl::Duration kLongestAvoidance = absl::Seconds(4);
+// A full engine frees a place about that often.
+constexpr absl::Duration kFullPause = absl::Milliseconds(60);
+
+}  // namespace
+
+BackendUse& BackendUse::operator+=(const BackendUse& other) {
+  requests += other.requests;
+  memory_tokens += other.memory_tokens;
+  prompt_tokens += other.prompt_tokens;
+  return *this;
+}
+
+BackendUse& BackendUse::operator-=(const BackendUse& other) {
+  requests -= other.requests;
+  memory_tokens -= other.memory_tokens;
+  prompt_tokens -= other.prompt_tokens;
+  return *this;
+}
+
+BackendUse Backend::Total() const {
+  BackendUse total = own;
+  total += peers;
+  return total;
+}
+
+BackendChange BackendTable::Upsert(const BackendRecord& record) {
+  auto [it, is_new] = backends_.try_emplace(record.id);
+  Backend& backend = it->second;
+  if (is_new) {
+    backend.record = record;
+    for (const auto& peer : peer_use_) {
+      auto use = peer.second.find(record.id);
+      if (use != peer.second.end()) backend.peers += use->second;
+    }
+    return BackendChange::kNew;
+  }
+  if (record.born_unix_ms < backend.record.born_unix_ms) {
+    return BackendChange::kNone;
+  }
+  bool was_lapsing = backend.lapses_at.has_value();
+  backend.lapses_at.reset();
+  if (record == backend.record) {
+    return was_lapsing ? BackendChange::kUpdated : BackendChange::kNone;
+  }
+  bool restarted = record.born_unix_ms > backend.record.born_unix_ms ||
+                   record.endpoint != backend.record.endpoint;
+  if (restarted) {
+    Backend fresh;
+    // Their ends will still be counted.
+    fresh.own = backend.own;
+    fresh.peers = backend.peers;
+    backend = fresh;
+  }
+  backend.record = record;
+  return restarted ? BackendChange::kRestarted : BackendChange::kUpdated;
+}
+
+bool BackendTable::Remove(const BackendName& id) {
+  return backends_.erase(id) != 0;
+}
+
+void BackendTable::RemoveLater(const BackendName& id, absl::Time at) {
+  Backend* backend = Find(id);
+  if (backend != nullptr && !backend->lapses_at) backend->lapses_at = at;
+}
+
+std::vector<BackendName> BackendTable::ExpireLapsed(absl::Time now) {
+  std::vector<BackendName> expired;
+  for (const auto& it : backends_) {
+    if (it.second.lapses_at && *it.second.lapses_at <= now) {
+      expired.push_back(it.first);
+    }
+  }
+  for (const BackendName& it : expired) backends_.erase(it);
+  return expired;
+}
+
+Backend* BackendTable::Find(const BackendName& id) {
+  auto it = backends_.find(id);
+  return it == backends_.end() ? nullptr : &it->second;
+}
+
+const Backend* BackendTable::Find(const BackendName& id) const {
+  auto it = backends_.find(id);
+  return it == backends_.end() ? nullptr : &it->second;
+}
+
+std::vector<Backend*> BackendTable::Candidates(const ServiceName& service,
+                                               absl::Time now) {
+  std::vector<Backend*> trusted;
+  std::vector<Backend*> suspects;
+  for (auto& it : backends_) {
+    Backend& backend = it.second;
+    if (backend.record.service != service || backend.record.draining) continue;
+    (backend.suspect_until > now ? suspects : trusted).push_back(&backend);
+  }
+  return trusted.empty() ? suspects : trusted;
+}
+
+void BackendTable::ReportFailure(const BackendName& id, absl::Time now) {
+  Backend* backend = Find(id);
+  if (backend == nullptr) return;
+  ++backend->failures_in_a_row;
+  int excess = backend->failures_in_a_row - kFailuresTolerated;
+  if (excess <= 0) return;
+  absl::Duration avoidance = kFirstAvoidance;
+  for (int it = 1; it < excess && avoidance < kLongestAvoidance; ++it) {
+    avoidance *= 2;
+  }
+  backend->suspect_until = now + std::min(avoidance, kLongestAvoidance);
+}
+
+void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
+  Backend* backend = Find(id);
+  if (backend == nullptr) return;
+  backend->failures_in_a_row = 0;
+  backend->suspect_until = absl::InfinitePast();
+  backend->last_heard = now;
+}
+
+void BackendTable::ReportFull(const BackendName& id, absl::Time now) {
+  Backend* backend = Find(id);
+  if (backend != nullptr) backend->full_until = now + kFullPause;
+}
+
+void BackendTable::AddPeers(const std::map<BackendName, BackendUse>& use,
+                            bool add) {
+  for (const auto& it : use) {
+    Backend* backend = Find(it.first);
+    if (backend == nullptr) continue;
+    if (add) {
+      backend->peers += it.second;
+    } else {
+      backend->peers -= it.second;
+    }
+  }
+}
+
+void BackendTable::SetPeerUse(const std::string& peer,
+                              const std::map<BackendName, BackendUse>& use) {
+  auto& known = peer_use_[peer];
+  AddPeers(known, /*add=*/false);
+  AddPeers(use, /*add=*/true);
+  known = use;
+  if (use.empty()) peer_use_.erase(peer);
+}
+
+std::map<BackendName, BackendUse> BackendTable::OwnUse() const {
+  std::map<BackendName, BackendUse> use;
+  for (const auto& it : backends_) {
+    if (it.second.own == BackendUse()) continue;
+    use[it.first] = it.second.own;
+  }
+  return use;
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/dispatch/route_table.cc
@@ -0,0 +1,53 @@
+// Lookups in a route table.
+
+#include "chervilwick/dispatch/route_table.h"
+
+#include "absl/strings/match.h"
+
+namespace chervilwick {
+namespace {
+
+absl::string_view PathOf(absl::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+const Route* RouteTable::Match(absl::string_view host,
+                               absl::string_view target) const {
+  absl::string_view name = host.substr(0, host.find(':'));
+  absl::string_view path = PathOf(target);
+  const Route* best = nullptr;
+  for (const Route& it : routes) {
+    if (!absl::EqualsIgnoreCase(it.host, name)) continue;
+    if (!absl::StartsWith(path, it.prefix)) continue;
+    if (best == nullptr || it.prefix.size() > best->prefix.size()) best = &it;
+  }
+  return best;
+}
+
+const Route* RouteTable::FindByName(const std::string& name) const {
+  for (const Route& it : routes) {
+    if (it.name == name) return &it;
+  }
+  return nullptr;
+}
+
+const EngineTraits* RouteTable::FindEngine(const ServiceName& service) const {
+  auto it = services.find(service);
+  if (it == services.end() || !it->second.engine) return nullptr;
+  return &*it->second.engine;
+}
+
+const ServiceName& PickService(const Route& route, uint64_t draw) {
+  uint64_t total = 0;
+  for (const WeightedService& it : route.services) total += it.weight;
+  uint64_t rest = total == 0 ? 0 : draw % total;
+  for (const WeightedService& it : route.services) {
+    if (rest < it.weight) return it.service;
+    rest -= it.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/dispatch/stream_scheduler.cc
@@ -0,0 +1,295 @@
+// Queueing, refusing and placing of streams.
+
+#include "chervilwick/dispatch/stream_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace chervilwick {
+namespace {
+
+// Weight of a new observation in a moving average.
+constexpr double kLearningRate = 0.1;
+// Bounds of what is learned, so that one odd value can't stop service.
+constexpr double kMinTokensPerMs = 3;
+constexpr double kMaxTokensPerMs = 300;
+constexpr double kMinStreamSeconds = 0.2;
+constexpr double kMaxStreamSeconds = 30;
+// Retries are spread over this part of the time that they are told to wait.
+constexpr double kRetrySpread = 0.5;
+constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(200);
+// Memory that an engine is assumed to have if the configuration tells none.
+constexpr uint64_t kDefaultMemoryTokens = 32768;
+
+double Learn(double old_value, double sample, double low, double high) {
+  double value = old_value + kLearningRate * (sample - old_value);
+  return std::clamp(value, low, high);
+}
+
+int64_t MemoryNeed(const StreamJob& job) {
+  return int64_t{job.prompt_tokens} + job.output_tokens;
+}
+
+// A server that was removed and found again starts at zero; use from before
+// must not make it negative.
+void GiveBack(BackendUse& use, const BackendUse& part) {
+  use -= part;
+  use.requests = std::max<int64_t>(use.requests, 0);
+  use.memory_tokens = std::max<int64_t>(use.memory_tokens, 0);
+  use.prompt_tokens = std::max<int64_t>(use.prompt_tokens, 0);
+}
+
+}  // namespace
+
+StreamScheduler::StreamScheduler(BackendTable& backends, ZoneName zone,
+                                 const StreamSchedulerOptions& options)
+    : backends_(backends),
+      zone_(std::move(zone)),
+      options_(options),
+      prompt_tokens_per_ms_(options.prompt_tokens_per_ms),
+      stream_seconds_(absl::ToDoubleSeconds(options.stream_duration)) {}
+
+void StreamScheduler::SetEngineTraits(
+    const std::map<ServiceName, ServiceTraits>& services) {
+  engines_.clear();
+  for (const auto& it : services) {
+    if (it.second.engine) engines_[it.first] = *it.second.engine;
+  }
+}
+
+absl::Duration StreamScheduler::PromptTime(int64_t tokens) const {
+  return absl::Milliseconds(static_cast<double>(tokens) /
+                            prompt_tokens_per_ms_);
+}
+
+absl::Duration StreamScheduler::ServiceTime(const StreamJob& job) const {
+  absl::Duration prompt =
+      job.has_prompt ? absl::ZeroDuration() : PromptTime(job.prompt_tokens);
+  return prompt + options_.first_event_overhead;
+}
+
+double StreamScheduler::PlacesPerSecond(const ServiceName& service,
+                                        absl::Time now) {
+  double memory = 0;
+  for (Backend* it : backends_.Candidates(service, now)) {
+    if (it->record.stage == EngineStage::kPrefill) continue;
+    auto traits = engines_.find(service);
+    memory += static_cast<double>(traits == engines_.end()
+                                      ? kDefaultMemoryTokens
+                                      : traits->second.memory_tokens);
+  }
+  double per_stream = memory_per_stream_ > 0 ? memory_per_stream_ : 4000;
+  return memory * options_.memory_fill / per_stream / stream_seconds_;
+}
+
+absl::Duration StreamScheduler::ExpectedWait(const StreamJob& job, size_t ahead,
+                                             absl::Time now) {
+  double rate = PlacesPerSecond(job.service, now);
+  if (rate <= 0) return absl::InfiniteDuration();
+  return absl::Seconds(static_cast<double>(ahead) / rate);
+}
+
+bool StreamScheduler::HasRoom(const StreamJob& job, absl::Time now) {
+  return ChooseDecode(job, Class::kOnTime, now) != nullptr;
+}
+
+StreamRefusal StreamScheduler::Refuse(const StreamJob& job,
+                                      StreamRefusalReason reason,
+                                      absl::Duration wait) const {
+  absl::Duration base = std::clamp(wait, kMinRetryAfter,
+                                   options_.max_retry_after);
+  // Streams that were refused together must not come back together.
+  double spread = static_cast<double>(job.id.value() % 16) / 16;
+  return {job.id, reason, base * (1 + kRetrySpread * spread)};
+}
+
+std::optional<StreamRefusal> StreamScheduler::Submit(StreamJob job,
+                                                     absl::Time now) {
+  memory_per_stream_ =
+      memory_per_stream_ == 0
+          ? static_cast<double>(MemoryNeed(job))
+          : memory_per_stream_ +
+                kLearningRate * (static_cast<double>(MemoryNeed(job)) -
+                                 memory_per_stream_);
+  bool has_room = on_time_.empty() && HasRoom(job, now);
+  size_t ahead = has_room ? 0 : on_time_.size() + peers_waiting_ + 1;
+  absl::Duration wait = ExpectedWait(job, ahead, now);
+  absl::Time first_event = now + wait + ServiceTime(job);
+  if (first_event <= job.first_event_due) {
+    auto it = std::upper_bound(on_time_.begin(), on_time_.end(), job,
+                               [](const StreamJob& a, const StreamJob& b) {
+                                 return a.first_event_due < b.first_event_due;
+                               });
+    on_time_.insert(it, std::move(job));
+    return std::nullopt;
+  }
+  absl::Duration late_wait =
+      ExpectedWait(job, ahead + late_.size(), now);
+  if (now + late_wait + ServiceTime(job) > job.give_up_at) {
+    return Refuse(job, StreamRefusalReason::kQueueTooLong, late_wait);
+  }
+  late_.push_back(std::move(job));
+  return std::nullopt;
+}
+
+void StreamScheduler::Withdraw(ExchangeId id) {
+  auto remove = [&](std::deque<StreamJob>& queue) {
+    queue.erase(std::remove_if(
+                    queue.begin(), queue.end(),
+                    [&](const StreamJob& it) { return it.id == id; }),
+                queue.end());
+  };
+  remove(on_time_);
+  remove(late_);
+}
+
+std::vector<StreamDecision> StreamScheduler::Decide(absl::Time now) {
+  std::vector<StreamDecision> out;
+  DemoteLate(now);
+  ServeClass(on_time_, Class::kOnTime, now, out);
+  if (on_time_.empty()) ServeClass(late_, Class::kLate, now, out);
+  RefuseHopeless(now, out);
+  return out;
+}
+
+void StreamScheduler::ServeClass(std::deque<StreamJob>& queue, Class which,
+                                 absl::Time now,
+                                 std::vector<StreamDecision>& out) {
+  // In strict order: small prompts that overtake would starve the large ones.
+  while (!queue.empty()) {
+    std::optional<StreamPlacement> placement = Place(queue.front(), which, now);
+    if (!placement) return;
+    out.push_back(*placement);
+    queue.pop_front();
+  }
+}
+
+void StreamScheduler::DemoteLate(absl::Time now) {
+  while (!on_time_.empty()) {
+    StreamJob& first = on_time_.front();
+    if (now + ServiceTime(first) <= first.first_event_due) return;
+    late_.push_back(std::move(first));
+    on_time_.pop_front();
+  }
+}
+
+void StreamScheduler::RefuseHopeless(absl::Time now,
+                                     std::vector<StreamDecision>& out) {
+  for (auto it = late_.begin(); it != late_.end();) {
+    if (now + ServiceTime(*it) <= it->give_up_at) {
+      ++it;
+      continue;
+    }
+    absl::Duration wait =
+        ExpectedWait(*it, waiting() + peers_waiting_, now);
+    out.push_back(Refuse(*it, StreamRefusalReason::kWaitedTooLong, wait));
+    it = late_.erase(it);
+  }
+}
+
+std::optional<StreamPlacement> StreamScheduler::Place(const StreamJob& job,
+                                                      Class which,
+                                                      absl::Time now) {
+  Backend* decode = ChooseDecode(job, which, now);
+  if (decode == nullptr) return std::nullopt;
+  StreamPlacement placement;
+  placement.id = job.id;
+  placement.decode = decode->record.id;
+  placement.memory_tokens = MemoryNeed(job);
+  placement.waited = now - job.arrived;
+  if (!job.has_prompt && decode->record.stage == EngineStage::kDecode) {
+    Backend* prefill = ChoosePrefill(job, decode->record.zone, now);
+    if (prefill == nullptr) return std::nullopt;
+    if (prefill->record.stage == EngineStage::kPrefill) {
+      placement.prefill = prefill->record.id;
+      placement.prompt_tokens = job.prompt_tokens;
+      prefill->own += {1, 0, placement.prompt_tokens};
+      placement.prefill_estimate =
+          PromptTime(prefill->Total().prompt_tokens);
+    }
+  }
+  decode->own += {1, placement.memory_tokens, 0};
+  return placement;
+}
+
+Backend* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
+                                       absl::Time now) {
+  double fill = which == Class::kOnTime ? options_.memory_fill
+                                        : options_.late_memory_fill;
+  auto traits = engines_.find(job.service);
+  uint64_t memory = traits == engines_.end() ? kDefaultMemoryTokens
+                                             : traits->second.memory_tokens;
+  Backend* best = nullptr;
+  double least = std::numeric_limits<double>::infinity();
+  for (Backend* it : backends_.Candidates(job.service, now)) {
+    if (it->record.stage == EngineStage::kPrefill) continue;
+    if (job.excluded.count(it->record.id) != 0) continue;
+    if (it->full_until > now) continue;
+    BackendUse use = it->Total();
+    if (use.requests >= it->record.slots) continue;
+    double filled = static_cast<double>(use.memory_tokens + MemoryNeed(job)) /
+                    static_cast<double>(memory);
+    // An idle engine takes any stream: nothing better will come.
+    if (filled > fill && use.requests > 0) continue;
+    double load = filled * it->time_percent / 100;
+    if (it->record.zone != zone_) load += options_.other_zone_load;
+    if (load >= least) continue;
+    least = load;
+    best = it;
+  }
+  return best;
+}
+
+Backend* StreamScheduler::ChoosePrefill(const StreamJob& job,
+                                        const ZoneName& near, absl::Time now) {
+  Backend* best = nullptr;
+  absl::Duration least = absl::InfiniteDuration();
+  bool any = false;
+  for (Backend* it : backends_.Candidates(job.service, now)) {
+    if (it->record.stage != EngineStage::kPrefill) continue;
+    any = true;
+    if (job.excluded.count(it->record.id) != 0) continue;
+    if (it->full_until > now) continue;
+    absl::Duration backlog =
+        PromptTime(it->Total().prompt_tokens) * it->time_percent / 100;
+    if (backlog > options_.max_prompt_backlog) continue;
+    // Transfers between zones take twice as long and cost more.
+    if (it->record.zone != near) {
+      backlog += PromptTime(job.prompt_tokens) * options_.other_zone_load;
+    }
+    if (backlog >= least) continue;
+    least = backlog;
+    best = it;
+  }
+  if (best != nullptr || any) return best;
+  // No engine reads prompts for others: the decoding engine reads it itself.
+  return ChooseDecode(job, Class::kOnTime, now);
+}
+
+void StreamScheduler::ReleasePrompt(const StreamPlacement& placement) {
+  if (!placement.prefill) return;
+  Backend* prefill = backends_.Find(*placement.prefill);
+  if (prefill == nullptr) return;
+  GiveBack(prefill->own, {1, 0, placement.prompt_tokens});
+}
+
+void StreamScheduler::ReleaseDecode(const StreamPlacement& placement) {
+  Backend* decode = backends_.Find(placement.decode);
+  if (decode == nullptr) return;
+  GiveBack(decode->own, {1, placement.memory_tokens, 0});
+}
+
+void StreamScheduler::ObservePrompt(double scale) {
+  if (scale <= 0) return;
+  prompt_tokens_per_ms_ =
+      Learn(prompt_tokens_per_ms_, prompt_tokens_per_ms_ / scale,
+            kMinTokensPerMs, kMaxTokensPerMs);
+}
+
+void StreamScheduler::ObserveStream(absl::Duration taken) {
+  stream_seconds_ = Learn(stream_seconds_, absl::ToDoubleSeconds(taken),
+                          kMinStreamSeconds, kMaxStreamSeconds);
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/front_daemon.cc
@@ -0,0 +1,481 @@
+// Daemon that takes clients' requests.
+
+#include "chervilwick/front/front_daemon.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "chervilwick/front/plain_relay.h"
+#include "chervilwick/support/hash.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr absl::Duration kHousekeeping = absl::Milliseconds(100);
+constexpr absl::Duration kSettingsCheck = absl::Seconds(1);
+constexpr absl::Duration kLogFlush = absl::Milliseconds(100);
+// Streams that wait are looked at again after that time.
+constexpr absl::Duration kSchedulerTick = absl::Milliseconds(15);
+// The balancer takes a host out after two probes a second apart; until then new
+// connections come.
+constexpr absl::Duration kBalancerDelay = absl::Milliseconds(2600);
+// Left of the shutdown limit when what is still open is cut.
+constexpr absl::Duration kShutdownMargin = absl::Milliseconds(150);
+constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
+constexpr absl::Duration kRetryAfterQuarantine = absl::Seconds(4);
+constexpr absl::Duration kPeerCopyInterval = absl::Milliseconds(300);
+constexpr absl::Duration kPeerCopyTimeout = absl::Milliseconds(500);
+constexpr char kCopyPath[] = "/copy";
+constexpr size_t kMaxCopyBytes = size_t{8} << 20;
+
+std::string ReadText(const std::string& file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+Fingerprint FingerprintOf(const HttpRequest& request, const Endpoint& client) {
+  uint64_t hash = StableHash(request.head.method);
+  hash = StableHash(request.head.target, hash);
+  hash = StableHash(absl::StrCat(client.ip), hash);
+  return Fingerprint(StableHash(request.body, hash));
+}
+
+// Fingerprints of requests without a body don't tell one request from another.
+bool HasFingerprint(const HttpRequest& request) {
+  return !request.body.empty();
+}
+
+}  // namespace
+
+FrontDaemon::FrontDaemon(const FrontSettings& settings,
+                         std::string settings_file,
+                         const OutsideProtocol& protocol)
+    : settings_file_(std::move(settings_file)),
+      settings_text_(ReadText(settings_file_)),
+      context_(loop_, protocol, settings),
+      clients_(loop_,
+               {[this](ExchangeId id, const Endpoint& client,
+                       HttpRequest request) {
+                  OnRequest(id, client, std::move(request));
+                },
+                [this](ExchangeId id) {
+                  auto it = relays_.find(id);
+                  if (it != relays_.end()) it->second->OnClientGone();
+                }}),
+      ready_(loop_, {[this](ExchangeId id, const Endpoint&,
+                            const HttpRequest& request) {
+                       bool is_probe = request.head.target ==
+                                       context_.protocol.ReadinessPath();
+                       int status = IsReady() ? 200 : 503;
+                       ready_.Respond(id, {is_probe ? status : 404, {}, ""});
+                     },
+                     [](ExchangeId) {}}),
+      control_(loop_, {[this](ExchangeId id, const Endpoint&,
+                              const HttpRequest& request) {
+                         OnControlRequest(control_, id, request);
+                       },
+                       [](ExchangeId) {}}),
+      metrics_(loop_, {[this](ExchangeId id, const Endpoint&,
+                              const HttpRequest& request) {
+                         OnControlRequest(metrics_, id, request);
+                       },
+                       [](ExchangeId) {}}),
+      store_(context_,
+             {[this](const RouteTable& it) { OnTable(it); },
+              [this](const BackendRecord& it) { OnBackend(it); },
+              [this](const BackendName& it, absl::Time at) {
+                OnRemoved(it, at);
+              },
+              [this](bool reachable, absl::string_view why) {
+                OnReachable(reachable, why);
+              }}),
+      peers_(context_,
+             {[this] {
+                PeerDigest digest;
+                digest.sender = context_.settings.name;
+                digest.store_revision = store_.revision();
+                digest.waiting_streams = context_.scheduler.waiting();
+                digest.use = context_.backends.OwnUse();
+                digest.crashes = context_.suspects.Notable();
+                return digest;
+              },
+              [this](const PeerDigest& it, const Endpoint& from) {
+                OnDigest(it, from);
+              },
+              [this](const std::string& name) {
+                context_.backends.SetPeerUse(name, {});
+              }}),
+      scheduler_wake_(loop_, [this] { RunScheduler(); }) {
+  context_.server = &clients_;
+  context_.wake_scheduler = [this] {
+    scheduler_wake_.Arm(absl::ZeroDuration());
+  };
+  context_.current_route = [this](const std::string& name) {
+    return table_.FindByName(name);
+  };
+  context_.engine_traits = [this](const ServiceName& service) {
+    return table_.FindEngine(service);
+  };
+}
+
+FrontDaemon::~FrontDaemon() = default;
+
+std::optional<std::string> FrontDaemon::Start() {
+  const FrontSettings& settings = context_.settings;
+  struct Address {
+    HttpServer& server;
+    const std::string& text;
+  };
+  for (const Address& it : {Address{clients_, settings.clients},
+                            Address{ready_, settings.ready},
+                            Address{control_, settings.control},
+                            Address{metrics_, settings.metrics}}) {
+    if (!it.server.Listen(*Endpoint::Parse(it.text))) {
+      return absl::StrCat(it.text, ": ", std::strerror(errno));
+    }
+  }
+  if (!peers_.Start()) {
+    return absl::StrCat(settings.peers, ": ", std::strerror(errno));
+  }
+  loop_.OnSignal(SIGTERM, [this] { BeginShutdown(); });
+  loop_.OnSignal(SIGINT, [this] { BeginShutdown(); });
+  loop_.OnSignal(SIGHUP, [this] { ReloadSettings(); });
+  loop_.Every(kHousekeeping, [this] { Housekeep(); });
+  loop_.Every(kLogFlush, [this] { context_.log.Flush(); });
+  loop_.Every(kSettingsCheck, [this] {
+    if (ReadText(settings_file_) != settings_text_) ReloadSettings();
+  });
+  context_.log.Write(loop_.Now(), "start",
+                     {{"zone", settings.zone},
+                      {"clients", settings.clients},
+                      {"store", settings.store},
+                      {"seeds", settings.seeds}});
+  store_.Start();
+  return std::nullopt;
+}
+
+bool FrontDaemon::Run() {
+  loop_.Run();
+  bool drained = relays_.empty();
+  context_.log.Write(loop_.Now(), "stop",
+                     {{"cut", static_cast<uint64_t>(relays_.size())}});
+  context_.log.Flush();
+  relays_.clear();
+  return drained;
+}
+
+bool FrontDaemon::IsReady() const {
+  return !stopping_ && store_.has_table() && store_.has_backends();
+}
+
+void FrontDaemon::Reject(ExchangeId id, const RequestFacts& facts, int status,
+                         absl::string_view reason) {
+  HttpResponse response;
+  response.status = status;
+  if (!facts.request_id.empty()) {
+    response.fields.push_back(
+        context_.protocol.RequestIdField(facts.request_id));
+  }
+  if (status == 503) {
+    response.fields.push_back(context_.protocol.RetryAfter(
+        reason == "quarantined" ? kRetryAfterQuarantine : kRetryAfterStart));
+  }
+  clients_.Respond(id, response);
+  context_.stats.CountOutcome("-", std::string(reason));
+  context_.log.Write(loop_.Now(), "request_rejected",
+                     {{"id", facts.request_id},
+                      {"status", status},
+                      {"reason", reason},
+                      {"version", table_.version.value()}});
+}
+
+void FrontDaemon::OnRequest(ExchangeId id, const Endpoint& client,
+                            HttpRequest request) {
+  AdmittedRequest admitted;
+  admitted.id = id;
+  admitted.arrived = loop_.Now();
+  admitted.facts = context_.protocol.ReadRequest(request.head);
+  const RequestFacts& facts = admitted.facts;
+  if (!store_.has_table()) {
+    Reject(id, facts, 503, "no_configuration");
+    return;
+  }
+  if (facts.request_id.empty()) {
+    Reject(id, facts, 400, "no_request_id");
+    return;
+  }
+  const Route* route =
+      table_.Match(request.head.Get("Host"), request.head.target);
+  if (route == nullptr) {
+    Reject(id, facts, 404, "no_route");
+    return;
+  }
+  admitted.route = *route;
+  admitted.version = table_.version;
+  admitted.service =
+      PickService(*route, absl::Uniform<uint64_t>(random_));
+  if (HasFingerprint(request)) {
+    admitted.fingerprint = FingerprintOf(request, client);
+    if (context_.suspects.IsQuarantined(admitted.fingerprint)) {
+      ++context_.stats.quarantined;
+      Reject(id, facts, 503, "quarantined");
+      return;
+    }
+  }
+  admitted.request = std::move(request);
+  Admit(std::move(admitted));
+}
+
+void FrontDaemon::Admit(AdmittedRequest admitted) {
+  ExchangeId id = admitted.id;
+  context_.quota.OnRequest(admitted.service, admitted.arrived);
+  auto finished = [this](ExchangeId done) {
+    auto it = relays_.find(done);
+    if (it == relays_.end()) return;
+    loop_.DeferDelete(std::move(it->second));
+    relays_.erase(it);
+    streams_.erase(done);
+  };
+  Relay* started = nullptr;
+  if (admitted.route.kind == RouteKind::kStream) {
+    auto relay = std::make_unique<StreamRelay>(context_, std::move(admitted),
+                                               finished);
+    streams_[id] = relay.get();
+    started = relay.get();
+    relays_[id] = std::move(relay);
+  } else {
+    auto relay = std::make_unique<PlainRelay>(context_, std::move(admitted),
+                                              finished);
+    started = relay.get();
+    relays_[id] = std::move(relay);
+  }
+  started->Start();
+}
+
+void FrontDaemon::RunScheduler() {
+  std::vector<StreamDecision> decisions =
+      context_.scheduler.Decide(loop_.Now());
+  for (const StreamDecision& decision : decisions) {
+    std::visit(Overloaded{
+                   [this](const StreamPlacement& it) {
+                     auto stream = streams_.find(it.id);
+                     if (stream != streams_.end()) {
+                       stream->second->OnPlaced(it);
+                       return;
+                     }
+                     context_.scheduler.ReleasePrompt(it);
+                     context_.scheduler.ReleaseDecode(it);
+                   },
+                   [this](const StreamRefusal& it) {
+                     auto stream = streams_.find(it.id);
+                     if (stream != streams_.end()) {
+                       stream->second->OnRefused(it);
+                     }
+                   },
+               },
+               decision);
+  }
+  if (context_.scheduler.waiting() > 0) scheduler_wake_.Arm(kSchedulerTick);
+}
+
+void FrontDaemon::OnTable(const RouteTable& table) {
+  table_ = table;
+  context_.scheduler.SetEngineTraits(table_.services);
+  ApplyLimits();
+  context_.log.Write(
+      loop_.Now(), "version_in_force",
+      {{"version", table_.version.value()},
+       {"routes", static_cast<uint64_t>(table_.routes.size())}});
+  std::vector<ExchangeId> ids;
+  for (const auto& it : relays_) ids.push_back(it.first);
+  for (ExchangeId id : ids) {
+    auto it = relays_.find(id);
+    if (it != relays_.end()) it->second->OnNewVersion();
+  }
+  context_.wake_scheduler();
+}
+
+void FrontDaemon::ApplyLimits() {
+  HttpServerLimits limits;
+  limits.max_head_bytes = table_.limits.max_head_bytes;
+  limits.max_body_bytes = table_.limits.max_body_bytes;
+  limits.head_timeout = table_.limits.head_timeout;
+  limits.idle_timeout = table_.limits.idle_timeout;
+  limits.max_buffered_bytes = context_.settings.memory_limit / 4;
+  clients_.SetLimits(limits);
+}
+
+void FrontDaemon::OnBackend(const BackendRecord& record) {
+  const Backend* known = context_.backends.Find(record.id);
+  std::optional<Endpoint> old_endpoint;
+  if (known != nullptr) old_endpoint = known->record.endpoint;
+  BackendChange change = context_.backends.Upsert(record);
+  if (change == BackendChange::kNone) return;
+  if (change == BackendChange::kRestarted && old_endpoint) {
+    context_.client.Forget(*old_endpoint);
+  }
+  context_.log.Write(
+      loop_.Now(), "backend",
+      {{"backend", record.id.value()},
+       {"change", change == BackendChange::kNew         ? "new"
+                  : change == BackendChange::kRestarted ? "restarted"
+                                                        : "updated"},
+       {"address", record.endpoint.ToString()},
+       {"state", record.draining ? "draining" : "ready"},
+       {"stage", record.stage == EngineStage::kPrefill  ? "prefill"
+                 : record.stage == EngineStage::kDecode ? "decode"
+                                                        : "-"},
+       {"store_revision", store_.revision()}});
+  if (record.draining) context_.client.Forget(record.endpoint);
+  context_.wake_scheduler();
+}
+
+void FrontDaemon::OnRemoved(const BackendName& id, absl::Time at) {
+  const Backend* known = context_.backends.Find(id);
+  if (known == nullptr) return;
+  bool is_lapse = at > loop_.Now();
+  context_.log.Write(loop_.Now(), "backend",
+                     {{"backend", id.value()},
+                      {"change", is_lapse ? "lapsed" : "removed"},
+                      {"store_revision", store_.revision()}});
+  if (is_lapse) {
+    context_.backends.RemoveLater(id, at);
+    return;
+  }
+  context_.client.Forget(known->record.endpoint);
+  context_.backends.Remove(id);
+}
+
+void FrontDaemon::OnReachable(bool reachable, absl::string_view why) {
+  context_.log.Write(loop_.Now(), reachable ? "store_regained" : "store_lost",
+                     {{"why", why}, {"revision", store_.revision()}});
+}
+
+void FrontDaemon::OnDigest(const PeerDigest& digest, const Endpoint& from) {
+  context_.backends.SetPeerUse(digest.sender, digest.use);
+  for (const CrashCount& it : digest.crashes) {
+    context_.suspects.Merge(it, loop_.Now());
+  }
+  if (digest.store_revision > peer_revision_ || !newest_peer_) {
+    peer_revision_ = digest.store_revision;
+    newest_peer_ = from;
+  }
+  if (context_.scheduler.waiting() > 0) context_.wake_scheduler();
+}
+
+void FrontDaemon::FetchPeerCopy() {
+  absl::Time now = loop_.Now();
+  if (store_.is_reachable() && store_.has_backends()) return;
+  if (!newest_peer_ || peer_revision_ <= store_.revision()) return;
+  if (now - peer_copy_asked_ < kPeerCopyInterval) return;
+  if (peer_copy_call_.value() != 0) {
+    if (now - peer_copy_asked_ < kPeerCopyTimeout) return;
+    context_.client.Cancel(peer_copy_call_);
+  }
+  peer_copy_asked_ = now;
+  peer_copy_.clear();
+  HttpRequest request;
+  request.head.method = "GET";
+  request.head.target = kCopyPath;
+  request.head.fields = {{"Host", "front"}};
+  peer_copy_call_ = context_.client.Start(
+      peers_.ControlOf(*newest_peer_), request, CallOptions(),
+      [this](CallEvent event) {
+        std::visit(
+            Overloaded{
+                [](HttpHead&) {},
+                [this](HttpBodyPart& part) {
+                  if (peer_copy_.size() < kMaxCopyBytes) {
+                    absl::StrAppend(&peer_copy_, part.bytes);
+                  }
+                },
+                [this](HttpEnd&) {
+                  peer_copy_call_ = CallId();
+                  bool taken = store_.TakeSnapshot(peer_copy_);
+                  context_.log.Write(loop_.Now(), "peer_copy",
+                                     {{"taken", taken},
+                                      {"revision", store_.revision()}});
+                  peer_revision_ = 0;
+                  newest_peer_.reset();
+                },
+                [this](CallFailure&) {
+                  peer_copy_call_ = CallId();
+                  peer_revision_ = 0;
+                  newest_peer_.reset();
+                },
+            },
+            event);
+      });
+}
+
+void FrontDaemon::Housekeep() {
+  absl::Time now = loop_.Now();
+  for (const BackendName& it : context_.backends.ExpireLapsed(now)) {
+    context_.log.Write(
+        now, "backend",
+        {{"backend", it.value()}, {"change", "gone after a store outage"}});
+  }
+  FetchPeerCopy();
+  context_.suspects.Prune(now);
+  if (IsReady() != was_ready_) {
+    was_ready_ = IsReady();
+    context_.log.Write(now, "readiness", {{"ready", was_ready_}});
+  }
+  if (stopping_) CheckShutdown();
+}
+
+void FrontDaemon::ReloadSettings() {
+  SettingsError error;
+  std::string text = ReadText(settings_file_);
+  std::optional<FrontSettings> settings =
+      LoadFrontSettings(settings_file_, error);
+  if (!settings) {
+    settings_text_ = text;
+    context_.log.Write(loop_.Now(), "reload_failed", {{"reason", error.text}});
+    return;
+  }
+  settings_text_ = text;
+  // Addresses of a running process stay.
+  FrontSettings& current = context_.settings;
+  current.seeds = settings->seeds;
+  current.store = settings->store;
+  current.shutdown_limit = settings->shutdown_limit;
+  context_.quota.SetBounds({settings->retry_ratio, settings->retry_slack,
+                            settings->retry_window});
+  peers_.SetSeeds(current.seeds);
+  context_.log.Write(loop_.Now(), "reload",
+                     {{"seeds", current.seeds}, {"store", current.store}});
+}
+
+void FrontDaemon::BeginShutdown() {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_began_ = loop_.Now();
+  clients_.CloseAfterAnswers();
+  context_.log.Write(
+      stop_began_, "stopping",
+      {{"in_flight", static_cast<uint64_t>(relays_.size())}});
+}
+
+void FrontDaemon::CheckShutdown() {
+  absl::Duration since = loop_.Now() - stop_began_;
+  if (since >= context_.settings.shutdown_limit - kShutdownMargin) {
+    loop_.Stop();
+    return;
+  }
+  if (since < kBalancerDelay) return;
+  clients_.StopListening();
+  clients_.CloseIdle();
+  if (relays_.empty() && clients_.open_connections() == 0) loop_.Stop();
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/front_reports.cc
@@ -0,0 +1,160 @@
+// What a front tells operators and other fronts over HTTP.
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "chervilwick/front/front_daemon.h"
+#include "chervilwick/telemetry/metrics.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr char kCopyPath[] = "/copy";
+constexpr char kMetricsPath[] = "/metrics";
+constexpr char kStatusPath[] = "/status";
+
+using Json = nlohmann::json;
+
+class SampleList {
+ public:
+  void Count(const char* name, const char* help, double value,
+             std::vector<MetricLabel> labels = {}) {
+    samples_.push_back(
+        {name, help, MetricType::kCounter, value, std::move(labels)});
+  }
+  void Gauge(const char* name, const char* help, double value) {
+    samples_.push_back({name, help, MetricType::kGauge, value, {}});
+  }
+  void Histogram(const std::string& name, const char* help,
+                 const LatencyCounts& counts,
+                 const std::vector<MetricLabel>& labels) {
+    uint64_t below = 0;
+    for (size_t it = 0; it <= LatencyCounts::kBuckets; ++it) {
+      below += counts.counts[it];
+      std::vector<MetricLabel> with_bound = labels;
+      with_bound.push_back({"le", it == LatencyCounts::kBuckets
+                                      ? std::string("+Inf")
+                                      : absl::StrCat(LatencyCounts::Bound(it))});
+      samples_.push_back({name + "_bucket", help, MetricType::kCounter,
+                          static_cast<double>(below), with_bound});
+    }
+    samples_.push_back({name + "_sum", help, MetricType::kCounter,
+                        counts.sum_seconds, labels});
+    samples_.push_back({name + "_count", help, MetricType::kCounter,
+                        static_cast<double>(counts.total), labels});
+  }
+  std::string Render() const { return RenderMetrics(samples_); }
+
+ private:
+  std::vector<MetricSample> samples_;
+};
+
+}  // namespace
+
+std::string FrontDaemon::Metrics() const {
+  const FrontStats& stats = context_.stats;
+  SampleList list;
+  for (const auto& it : stats.outcomes) {
+    list.Count("front_requests_total", "Requests that ended, by outcome.",
+               static_cast<double>(it.second),
+               {{"route", it.first.first}, {"outcome", it.first.second}});
+  }
+  for (const auto& it : stats.answer_time) {
+    list.Histogram("front_answer_seconds", "Time to the end of the answer.",
+                   it.second, {{"route", it.first}});
+  }
+  for (const auto& it : stats.first_event) {
+    list.Histogram("front_first_event_seconds", "Time to the first event.",
+                   it.second, {{"route", it.first}});
+  }
+  for (const auto& it : stats.queue_time) {
+    list.Histogram("front_queue_seconds", "Time until a place was found.",
+                   it.second, {{"route", it.first}});
+  }
+  list.Histogram("front_prompt_seconds", "Time of the prefill step.",
+                 stats.prompt_time, {});
+  for (const auto& it : stats.store_calls) {
+    list.Count("front_store_calls_total", "Calls to the store, by status.",
+               static_cast<double>(it.second), {{"status", it.first}});
+  }
+  auto count = [&list](const char* name, const char* help, uint64_t n) {
+    list.Count(name, help, static_cast<double>(n));
+  };
+  count("front_repeated_sends_total", "Sends beyond the first.",
+        stats.repeated_sends);
+  count("front_quota_refusals_total", "Sends that the retry budget refused.",
+        stats.quota_refusals);
+  count("front_resumed_streams_total", "Streams that went on elsewhere.",
+        stats.resumed_streams);
+  count("front_foreign_answers_total", "Answers to another request, dropped.",
+        stats.foreign_answers);
+  count("front_quarantined_total", "Requests refused as crash suspects.",
+        stats.quarantined);
+  count("front_store_items_malformed_total", "Store items that name nothing.",
+        stats.malformed_items);
+  count("front_log_lines_dropped_total", "Log lines that found no room.",
+        context_.log.dropped());
+  count("front_peer_datagrams_bad_total", "Datagrams that were no digest.",
+        stats.peer_datagrams_bad);
+  count("front_backend_connections_total", "Connections made.",
+        context_.client.connections_made());
+  list.Gauge("front_in_flight", "Requests in flight.",
+             static_cast<double>(relays_.size()));
+  list.Gauge("front_waiting_streams", "Streams without a place.",
+             static_cast<double>(context_.scheduler.waiting()));
+  list.Gauge("front_peers", "Other fronts that are heard.",
+             static_cast<double>(peers_.alive()));
+  list.Gauge("front_version", "Configuration version in force.",
+             static_cast<double>(table_.version.value()));
+  list.Gauge("front_store_age_seconds", "Since the store's last answer.",
+             absl::ToDoubleSeconds(loop_.Now() - store_.last_answer()));
+  return list.Render();
+}
+
+std::string FrontDaemon::Status() const {
+  Json backends = Json::array();
+  for (const auto& it : context_.backends.all()) {
+    const Backend& backend = it.second;
+    BackendUse use = backend.Total();
+    backends.push_back(
+        {{"id", it.first.value()},
+         {"address", backend.record.endpoint.ToString()},
+         {"zone", backend.record.zone.value()},
+         {"state", backend.record.draining ? "draining" : "ready"},
+         {"suspect", backend.suspect_until > loop_.Now()},
+         {"requests", use.requests},
+         {"memory_tokens", use.memory_tokens},
+         {"prompt_tokens", use.prompt_tokens},
+         {"time_percent", backend.time_percent}});
+  }
+  Json status = {{"name", context_.settings.name},
+                 {"zone", context_.settings.zone},
+                 {"ready", IsReady()},
+                 {"version", table_.version.value()},
+                 {"store_revision", store_.revision()},
+                 {"store_reachable", store_.is_reachable()},
+                 {"peers", peers_.alive()},
+                 {"in_flight", relays_.size()},
+                 {"waiting_streams", context_.scheduler.waiting()},
+                 {"backends", backends}};
+  return status.dump(2) + "\n";
+}
+
+void FrontDaemon::OnControlRequest(HttpServer& server, ExchangeId id,
+                                   const HttpRequest& request) {
+  const std::string& target = request.head.target;
+  if (target == kMetricsPath) {
+    server.Respond(id, {200, {{"Content-Type", "text/plain"}}, Metrics()});
+  } else if (target == kStatusPath) {
+    server.Respond(id,
+                   {200, {{"Content-Type", "application/json"}}, Status()});
+  } else if (target == kCopyPath && &server == &control_) {
+    server.Respond(id, {200,
+                        {{"Content-Type", "application/octet-stream"}},
+                        store_.Snapshot()});
+  } else {
+    server.Respond(id, {404, {}, ""});
+  }
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/front_stats.cc
@@ -0,0 +1,25 @@
+// Counters of a front.
+
+#include "chervilwick/front/front_stats.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr double kFirstBoundSeconds = 0.001;
+
+}  // namespace
+
+double LatencyCounts::Bound(size_t bucket) {
+  return kFirstBoundSeconds * static_cast<double>(uint64_t{1} << bucket);
+}
+
+void LatencyCounts::Add(absl::Duration taken) {
+  double seconds = absl::ToDoubleSeconds(taken);
+  size_t bucket = 0;
+  while (bucket < kBuckets && seconds > Bound(bucket)) ++bucket;
+  ++counts[bucket];
+  ++total;
+  sum_seconds += seconds;
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/peer_link.cc
@@ -0,0 +1,286 @@
+// What fronts tell each other.
+
+#include "chervilwick/front/peer_link.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/str_split.h"
+#include "chervilwick/support/random_seed.h"
+#include "chervilwick/wire/archive.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr uint32_t kDigestMagic = 0x63776b31;
+// Changes of use are told at most that often.
+constexpr absl::Duration kTick = absl::Milliseconds(50);
+// A digest is sent that often even without a change.
+constexpr absl::Duration kHeartbeat = absl::Milliseconds(400);
+// A peer that was silent for so long has stopped or is cut off.
+constexpr absl::Duration kPeerTimeout = absl::Milliseconds(1600);
+// How long a larger number of fronts is remembered for budgets.
+constexpr absl::Duration kSizeMemory = absl::Seconds(12);
+constexpr size_t kMaxDatagram = 60000;
+constexpr size_t kMaxPeersNamed = 32;
+constexpr size_t kMaxHearsay = 64;
+
+struct UseEntry {
+  std::string backend;
+  int32_t requests = 0;
+  int32_t memory_tokens = 0;
+  int32_t prompt_tokens = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(backend, requests, memory_tokens, prompt_tokens);
+  }
+};
+
+struct CrashEntry {
+  uint64_t fingerprint = 0;
+  uint32_t breaks = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(fingerprint, breaks);
+  }
+};
+
+struct PeerEntry {
+  uint32_t ip = 0;
+  uint16_t port = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(ip, port);
+  }
+};
+
+}  // namespace
+
+std::string EncodeDigest(const PeerDigest& digest) {
+  List<UseEntry> use;
+  for (const auto& it : digest.use) {
+    use.items.push_back({it.first.value(),
+                         static_cast<int32_t>(it.second.requests),
+                         static_cast<int32_t>(it.second.memory_tokens),
+                         static_cast<int32_t>(it.second.prompt_tokens)});
+  }
+  List<CrashEntry> crashes;
+  for (const CrashCount& it : digest.crashes) {
+    crashes.items.push_back({it.fingerprint.value(), it.breaks});
+  }
+  List<PeerEntry> peers;
+  for (const Endpoint& it : digest.peers) {
+    peers.items.push_back({it.ip, it.port});
+  }
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(kDigestMagic, digest.sender, digest.incarnation, digest.sequence,
+         digest.store_revision, digest.waiting_streams, use, crashes, peers);
+  return bytes;
+}
+
+std::optional<PeerDigest> DecodeDigest(absl::string_view bytes) {
+  uint32_t magic = 0;
+  PeerDigest digest;
+  List<UseEntry> use;
+  List<CrashEntry> crashes;
+  List<PeerEntry> peers;
+  try {
+    BinaryReader reader({bytes.data(), bytes.size()});
+    reader(magic);
+    if (magic != kDigestMagic) return std::nullopt;
+    reader(digest.sender, digest.incarnation, digest.sequence,
+           digest.store_revision, digest.waiting_streams, use, crashes, peers);
+    if (reader.Remaining() != 0) return std::nullopt;
+  } catch (const cereal::Exception&) {
+    // The caller counts it.
+    return std::nullopt;
+  }
+  for (const UseEntry& it : use.items) {
+    digest.use[BackendName(it.backend)] = {it.requests, it.memory_tokens,
+                                           it.prompt_tokens};
+  }
+  for (const CrashEntry& it : crashes.items) {
+    digest.crashes.push_back({Fingerprint(it.fingerprint), it.breaks});
+  }
+  for (const PeerEntry& it : peers.items) {
+    digest.peers.push_back({it.ip, it.port});
+  }
+  return digest;
+}
+
+PeerLink::PeerLink(FrontContext& context, Listener listener)
+    : context_(context),
+      listener_(std::move(listener)),
+      incarnation_(DrawNonZero()) {}
+
+PeerLink::~PeerLink() {
+  if (socket_ >= 0) close(socket_);
+}
+
+bool PeerLink::Start() {
+  self_ = *Endpoint::Parse(context_.settings.peers);
+  control_port_ = Endpoint::Parse(context_.settings.control)->port;
+  socket_ = BindUdp(self_);
+  if (socket_ < 0) return false;
+  context_.loop.OnReadable(socket_, [this] { OnReadable(); });
+  context_.loop.Every(kTick, [this] { Tick(); });
+  SetSeeds(context_.settings.seeds);
+  UpdateShares();
+  return true;
+}
+
+void PeerLink::SetSeeds(const std::string& seeds) {
+  seeds_.clear();
+  for (absl::string_view it : absl::StrSplit(seeds, ',', absl::SkipEmpty())) {
+    auto control = Endpoint::Parse(std::string(it));
+    // Ports are the same on all hosts.
+    if (control && control->ip != self_.ip) {
+      seeds_.insert({control->ip, self_.port});
+    }
+  }
+}
+
+Endpoint PeerLink::ControlOf(const Endpoint& peer) const {
+  return {peer.ip, control_port_};
+}
+
+std::optional<Endpoint> PeerLink::AnyControl() const {
+  const Endpoint* best = nullptr;
+  absl::Time heard = absl::InfinitePast();
+  for (const auto& it : alive_) {
+    if (it.second.heard <= heard) continue;
+    heard = it.second.heard;
+    best = &it.first;
+  }
+  if (best == nullptr) return std::nullopt;
+  return ControlOf(*best);
+}
+
+uint32_t PeerLink::FrontsAssumed() const {
+  uint32_t most = static_cast<uint32_t>(alive_.size()) + 1;
+  // Before any peer was heard, the seeds are taken to be others.
+  if (alive_.empty()) most += static_cast<uint32_t>(seeds_.size());
+  for (const auto& it : recent_sizes_) most = std::max(most, it.second);
+  return most;
+}
+
+void PeerLink::OnReadable() {
+  std::array<char, kMaxDatagram> buf;
+  while (true) {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    ssize_t n = recvfrom(socket_, buf.data(), buf.size(), 0,
+                         reinterpret_cast<sockaddr*>(&address), &length);
+    if (n < 0) return;
+    OnDatagram({buf.data(), static_cast<size_t>(n)}, Endpoint::From(address));
+  }
+}
+
+void PeerLink::OnDatagram(absl::string_view bytes, const Endpoint& from) {
+  std::optional<PeerDigest> digest = DecodeDigest(bytes);
+  if (!digest) {
+    ++context_.stats.peer_datagrams_bad;
+    return;
+  }
+  ++context_.stats.peer_datagrams_in;
+  auto [it, is_new] = alive_.try_emplace(from);
+  Peer& peer = it->second;
+  bool restarted = peer.incarnation != digest->incarnation;
+  if (!is_new && !restarted && digest->sequence <= peer.sequence) return;
+  peer.name = digest->sender;
+  peer.incarnation = digest->incarnation;
+  peer.sequence = digest->sequence;
+  peer.waiting_streams = digest->waiting_streams;
+  peer.heard = context_.loop.Now();
+  hearsay_.erase(from);
+  for (const Endpoint& named : digest->peers) {
+    if (named != self_ && alive_.count(named) == 0 &&
+        hearsay_.size() < kMaxHearsay) {
+      hearsay_.insert(named);
+    }
+  }
+  if (is_new || restarted) {
+    context_.log.Write(peer.heard, "peer_found",
+                       {{"peer", peer.name}, {"address", from.ToString()}});
+  }
+  listener_.on_digest(*digest, from);
+  UpdateShares();
+}
+
+void PeerLink::UpdateShares() {
+  size_t waiting = 0;
+  for (const auto& it : alive_) waiting += it.second.waiting_streams;
+  context_.scheduler.SetPeersWaiting(waiting);
+  absl::Time now = context_.loop.Now();
+  uint32_t size = static_cast<uint32_t>(alive_.size()) + 1;
+  if (recent_sizes_.empty() || recent_sizes_.rbegin()->second != size ||
+      now - recent_sizes_.rbegin()->first > absl::Seconds(1)) {
+    recent_sizes_[now] = size;
+  }
+  while (!recent_sizes_.empty() &&
+         now - recent_sizes_.begin()->first > kSizeMemory) {
+    recent_sizes_.erase(recent_sizes_.begin());
+  }
+  context_.quota.SetFronts(FrontsAssumed());
+}
+
+void PeerLink::ExpireSilent(absl::Time now) {
+  for (auto it = alive_.begin(); it != alive_.end();) {
+    if (now - it->second.heard < kPeerTimeout) {
+      ++it;
+      continue;
+    }
+    context_.log.Write(
+        now, "peer_lost",
+        {{"peer", it->second.name}, {"silent_ms", now - it->second.heard}});
+    listener_.on_lost(it->second.name);
+    if (hearsay_.size() < kMaxHearsay) hearsay_.insert(it->first);
+    it = alive_.erase(it);
+    UpdateShares();
+  }
+}
+
+void PeerLink::Tick() {
+  absl::Time now = context_.loop.Now();
+  ExpireSilent(now);
+  PeerDigest digest = listener_.make_digest();
+  bool changed = digest.use != last_sent_use_ ||
+                 digest.waiting_streams != last_sent_waiting_;
+  if (!changed && now - last_sent_ < kHeartbeat) return;
+  bool is_heartbeat = now - last_sent_ >= kHeartbeat;
+  last_sent_ = now;
+  last_sent_use_ = digest.use;
+  last_sent_waiting_ = digest.waiting_streams;
+  digest.incarnation = incarnation_;
+  digest.sequence = ++sequence_;
+  for (const auto& it : alive_) {
+    if (digest.peers.size() < kMaxPeersNamed) digest.peers.push_back(it.first);
+  }
+  Send(digest);
+  if (is_heartbeat) context_.quota.SetFronts(FrontsAssumed());
+}
+
+void PeerLink::Send(const PeerDigest& digest) {
+  std::string bytes = EncodeDigest(digest);
+  std::set<Endpoint> targets = seeds_;
+  for (const auto& it : alive_) targets.insert(it.first);
+  targets.insert(hearsay_.begin(), hearsay_.end());
+  for (const Endpoint& it : targets) {
+    sockaddr_in address = it.ToSockaddr();
+    // A datagram that can't be sent counts as lost: the next one replaces it.
+    ssize_t n = sendto(socket_, bytes.data(), bytes.size(), 0,
+                       reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (n > 0) ++context_.stats.peer_datagrams_out;
+  }
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/plain_relay.cc
@@ -0,0 +1,264 @@
+// Relay of a plain call.
+
+#include "chervilwick/front/plain_relay.h"
+
+#include <utility>
+#include <vector>
+
+#include "chervilwick/dispatch/call_balancer.h"
+#include "absl/strings/str_cat.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+// Servers that one request is offered to, refusals included.
+constexpr uint32_t kMaxSends = 4;
+// Longest answer that is held.
+constexpr size_t kMaxAnswerBytes = size_t{8} << 20;
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
+// A full service of short calls has room again about then.
+constexpr absl::Duration kRetryAfterFull = absl::Milliseconds(150);
+// A service without a server may have one again about then.
+constexpr absl::Duration kRetryAfterNone = absl::Milliseconds(800);
+// Part of the objective after which a second run is started.
+constexpr double kSlowShare = 0.5;
+// Repeated sends that are kept for failures.
+constexpr double kHedgeReserve = 4;
+constexpr int kFirstFailure = 500;
+constexpr int kMisdirected = 421;
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+PlainRelay::PlainRelay(FrontContext& context, AdmittedRequest admitted,
+                       Finished finished)
+    : Relay(context, std::move(admitted), std::move(finished)),
+      slow_(context.loop, [this] { OnSlow(); }) {}
+
+PlainRelay::~PlainRelay() { CancelAll(); }
+
+void PlainRelay::Start() {
+  Send();
+  if (!is_finished() && MayRunAgain()) {
+    slow_.Arm(admitted_.route.objective * kSlowShare);
+  }
+}
+
+bool PlainRelay::MayRunAgain() const {
+  return admitted_.route.kind == RouteKind::kIdempotent &&
+         runs_ < admitted_.route.attempts && sends_ < kMaxSends &&
+         !is_client_gone_;
+}
+
+void PlainRelay::Send() {
+  Backend* backend =
+      ChooseForCall(context_.backends, admitted_.service,
+                    ZoneName(context_.settings.zone), tried_, Now());
+  if (backend == nullptr) {
+    if (!attempts_.empty()) return;
+    if (failure_answer_) {
+      Deliver(*failure_answer_);
+    } else if (runs_ > 0) {
+      End({502, "no_other_backend"});
+    } else {
+      End({503, tried_.empty() ? "no_backend" : "all_refused",
+           tried_.empty() ? kRetryAfterNone : kRetryAfterFull});
+    }
+    return;
+  }
+  ++sends_;
+  ++runs_;
+  uint32_t number = sends_;
+  ForwardOptions forward;
+  forward.expected = backend->record.id;
+  forward.remaining = ClientRemaining();
+  CallOptions options = EngineCallOptions();
+  options.connect_timeout = kConnectTimeout;
+  Attempt& attempt = attempts_[number];
+  attempt.backend = backend->record.id;
+  tried_.insert(attempt.backend);
+  backend->own += {1, 0, 0};
+  attempt.call = context_.client.Start(
+      backend->record.endpoint,
+      context_.protocol.Forward(admitted_.request, forward), options,
+      [this, number](CallEvent event) { OnEvent(number, std::move(event)); });
+  context_.log.Write(Now(), "sent",
+                     {{"id", admitted_.facts.request_id},
+                      {"backend", attempt.backend.value()},
+                      {"send", sends_},
+                      {"in_flight", backend->Total().requests},
+                      {"slowness", backend->time_percent}});
+}
+
+void PlainRelay::OnEvent(uint32_t number, CallEvent event) {
+  auto it = attempts_.find(number);
+  if (it == attempts_.end()) return;
+  Attempt& attempt = it->second;
+  std::visit(Overloaded{
+                 [&](HttpHead& head) { attempt.head = std::move(head); },
+                 [&](HttpBodyPart& part) {
+                   if (attempt.body.size() + part.bytes.size() >
+                       kMaxAnswerBytes) {
+                     context_.client.Cancel(attempt.call);
+                     OnFailure(number, {CallError::kMalformed, true});
+                     return;
+                   }
+                   absl::StrAppend(&attempt.body, part.bytes);
+                 },
+                 [&](HttpEnd&) { OnAnswer(number); },
+                 [&](CallFailure& failure) { OnFailure(number, failure); },
+             },
+             event);
+}
+
+PlainRelay::Attempt PlainRelay::Take(uint32_t number) {
+  auto it = attempts_.find(number);
+  Attempt attempt = std::move(it->second);
+  attempts_.erase(it);
+  Backend* backend = context_.backends.Find(attempt.backend);
+  if (backend != nullptr && backend->own.requests > 0) {
+    backend->own.requests -= 1;
+  }
+  return attempt;
+}
+
+void PlainRelay::OnFailure(uint32_t number, const CallFailure& failure) {
+  Attempt attempt = Take(number);
+  context_.backends.ReportFailure(attempt.backend, Now());
+  if (!failure.sent) {
+    --runs_;
+    Log("not_sent", attempt.backend.value(), "connection failed");
+    SendAgainOrEnd(/*costs_repeat=*/false,
+                   {503, "backend_unreachable", kRetryAfterNone});
+    return;
+  }
+  if (failure.error == CallError::kClosed) {
+    context_.suspects.ReportBreak(admitted_.fingerprint, Now());
+  }
+  Log("broke_off", attempt.backend.value(),
+      failure.error == CallError::kMalformed ? "malformed answer"
+                                             : "connection closed");
+  if (MayRunAgain()) {
+    SendAgainOrEnd(/*costs_repeat=*/true, {502, "backend_broke_off"});
+  } else if (attempts_.empty()) {
+    End({502, "backend_broke_off"});
+  }
+}
+
+void PlainRelay::SendAgainOrEnd(bool costs_repeat, const Ending& otherwise) {
+  bool may_send = sends_ < kMaxSends && !is_client_gone_ &&
+                  Remaining() > absl::ZeroDuration();
+  if (may_send && (!costs_repeat || TakeRepeat())) {
+    Send();
+    return;
+  }
+  if (!attempts_.empty()) return;
+  if (failure_answer_) {
+    Deliver(*failure_answer_);
+    return;
+  }
+  Ending ending = otherwise;
+  // Only a request that ran nowhere may be said not to have run.
+  if (runs_ > 0 && ending.status == 503) ending = {502, otherwise.reason};
+  End(ending);
+}
+
+void PlainRelay::OnAnswer(uint32_t number) {
+  Attempt attempt = Take(number);
+  AnswerFacts facts = context_.protocol.ReadAnswer(attempt.head);
+  int status = attempt.head.status;
+  if (Backend* it = context_.backends.Find(attempt.backend);
+      it != nullptr && facts.load) {
+    it->time_percent = facts.load->time_percent;
+  }
+  if (facts.is_not_run) {
+    --runs_;
+    OnNotRun(attempt.backend, status);
+    return;
+  }
+  context_.backends.ReportSuccess(attempt.backend, Now());
+  if (IsSuccess(status) && !facts.is_engines_own) {
+    Log("unproven_answer", attempt.backend.value(), "no receipt");
+    SendAgainOrEnd(MayRunAgain(), {502, "unproven_answer"});
+    return;
+  }
+  context_.suspects.Clear(admitted_.fingerprint);
+  if (status >= kFirstFailure && MayRunAgain()) {
+    failure_answer_ = attempt;
+    Log("engine_failed", attempt.backend.value(), "repeating");
+    SendAgainOrEnd(/*costs_repeat=*/true, {502, "backend_failed"});
+    return;
+  }
+  if (status >= kFirstFailure && !attempts_.empty()) {
+    failure_answer_ = attempt;
+    return;
+  }
+  Deliver(attempt);
+}
+
+void PlainRelay::OnNotRun(const BackendName& backend, int status) {
+  if (status == kMisdirected) {
+    context_.backends.ReportFailure(backend, Now());
+    context_.backends.ReportFailure(backend, Now());
+  } else {
+    context_.backends.ReportFull(backend, Now());
+  }
+  Log("not_run", backend.value(),
+      status == kMisdirected ? "another server has the address" : "full");
+  SendAgainOrEnd(/*costs_repeat=*/true, {503, "backends_full", kRetryAfterFull});
+}
+
+void PlainRelay::OnSlow() {
+  if (!MayRunAgain() || attempts_.empty()) return;
+  if (context_.quota.Left(admitted_.service, Now()) < kHedgeReserve) return;
+  if (!TakeRepeat()) return;
+  Log("slow", attempts_.begin()->second.backend.value(), "second run");
+  Send();
+}
+
+void PlainRelay::Deliver(const Attempt& attempt) {
+  CancelAll();
+  HttpResponse response;
+  response.status = attempt.head.status;
+  response.fields = context_.protocol.AnswerFields(attempt.head);
+  response.body = attempt.body;
+  context_.server->Respond(admitted_.id, response);
+  Finish(is_client_gone_ ? "client_gone" : "answered", response.status,
+         attempt.backend.value());
+}
+
+void PlainRelay::CancelAll() {
+  slow_.Cancel();
+  std::vector<uint32_t> numbers;
+  for (const auto& it : attempts_) numbers.push_back(it.first);
+  for (uint32_t it : numbers) context_.client.Cancel(Take(it).call);
+}
+
+void PlainRelay::OnClientGone() {
+  is_client_gone_ = true;
+  // A run that can't be repeated goes on: cutting it would leave its outcome
+  // unknown to the service.
+  if (!admitted_.route.MayRepeat() && !attempts_.empty()) return;
+  CancelAll();
+  Finish("client_gone", 0, "");
+}
+
+void PlainRelay::OnTimeout() {
+  bool ran = runs_ > 0;
+  if (!ran || attempts_.empty()) {
+    CancelAll();
+    End({ran ? 504 : 503, "timeout"});
+    return;
+  }
+  bool all_unsent = runs_ == attempts_.size();
+  for (const auto& it : attempts_) {
+    all_unsent = all_unsent && context_.client.IsUnsent(it.second.call);
+    context_.backends.ReportFailure(it.second.backend, Now());
+  }
+  CancelAll();
+  End({all_unsent ? 503 : 504, "timeout"});
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/relay.cc
@@ -0,0 +1,126 @@
+// One client request on its way through a front.
+
+#include "chervilwick/front/relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilwick {
+namespace {
+
+// A kept connection that was idle for longer may be closing.
+constexpr absl::Duration kMaxIdle = absl::Seconds(4);
+// For requests that may run once only: a close that crosses the request would
+// leave its outcome unknown.
+constexpr absl::Duration kMaxIdleRunOnce = absl::Seconds(1);
+
+}  // namespace
+
+FrontContext::FrontContext(EventLoop& event_loop,
+                           const OutsideProtocol& outside,
+                           const FrontSettings& front_settings)
+    : loop(event_loop),
+      protocol(outside),
+      settings(front_settings),
+      log(1, front_settings.name),
+      client(event_loop, front_settings.contact_limit),
+      scheduler(backends, ZoneName(front_settings.zone),
+                StreamSchedulerOptions()),
+      quota({front_settings.retry_ratio, front_settings.retry_slack,
+             front_settings.retry_window}) {}
+
+Relay::Relay(FrontContext& context, AdmittedRequest admitted, Finished finished)
+    : context_(context),
+      admitted_(std::move(admitted)),
+      finished_(std::move(finished)),
+      timeout_(context.loop, [this] { OnTimeout(); }) {
+  ArmTimeout();
+}
+
+Relay::~Relay() = default;
+
+absl::Duration Relay::ClientRemaining() const {
+  if (!admitted_.facts.deadline) return admitted_.route.timeout - Elapsed();
+  return *admitted_.facts.deadline - Elapsed();
+}
+
+absl::Duration Relay::Remaining() const {
+  return std::min(ClientRemaining(), admitted_.route.timeout - Elapsed());
+}
+
+void Relay::ArmTimeout() { timeout_.Arm(Remaining()); }
+
+void Relay::OnNewVersion() {
+  const Route* route = context_.current_route(admitted_.route.name);
+  if (route == nullptr || route->timeout == admitted_.route.timeout) return;
+  admitted_.route.timeout = route->timeout;
+  ArmTimeout();
+}
+
+CallOptions Relay::EngineCallOptions() const {
+  CallOptions options;
+  options.max_idle = admitted_.route.MayRepeat() ? kMaxIdle : kMaxIdleRunOnce;
+  options.accepts = [this](const HttpHead& head) {
+    AnswerFacts facts = context_.protocol.ReadAnswer(head);
+    bool is_ours = facts.request_id.empty() ||
+                   facts.request_id == admitted_.facts.request_id;
+    if (!is_ours) ++context_.stats.foreign_answers;
+    return is_ours;
+  };
+  return options;
+}
+
+void Relay::End(const Ending& ending) {
+  HttpResponse response;
+  response.status = ending.status;
+  if (!admitted_.facts.request_id.empty()) {
+    response.fields.push_back(
+        context_.protocol.RequestIdField(admitted_.facts.request_id));
+  }
+  if (ending.retry_after > absl::ZeroDuration()) {
+    response.fields.push_back(context_.protocol.RetryAfter(ending.retry_after));
+  }
+  context_.server->Respond(admitted_.id, response);
+  Finish(ending.status == 503 ? "refused" : "failed", ending.status,
+         ending.reason);
+}
+
+void Relay::Finish(absl::string_view outcome, int status,
+                   absl::string_view reason) {
+  if (is_finished_) return;
+  is_finished_ = true;
+  timeout_.Cancel();
+  context_.stats.CountOutcome(admitted_.route.name, std::string(outcome));
+  context_.stats.answer_time[admitted_.route.name].Add(Elapsed());
+  context_.log.Write(
+      Now(), "request_done",
+      {{"id", admitted_.facts.request_id},
+       {"route", admitted_.route.name},
+       {"version", admitted_.version.value()},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", reason},
+       {"took_ms", Elapsed()},
+       {"left_ms", Remaining()}});
+  finished_(admitted_.id);
+}
+
+void Relay::Log(absl::string_view event, absl::string_view backend,
+                absl::string_view detail) {
+  context_.log.Write(Now(), event,
+                     {{"id", admitted_.facts.request_id},
+                      {"backend", backend},
+                      {"detail", detail},
+                      {"at_ms", Elapsed()}});
+}
+
+bool Relay::TakeRepeat() {
+  if (context_.quota.TryTake(admitted_.service, Now())) {
+    ++context_.stats.repeated_sends;
+    return true;
+  }
+  ++context_.stats.quota_refusals;
+  return false;
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/front/store_sync.cc
@@ -0,0 +1,280 @@
+// Copy of the configuration and the list of backend servers.
+
+#include "chervilwick/front/store_sync.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "chervilwick/support/overloaded.h"
+#include "chervilwick/wire/archive.h"
+
+namespace chervilwick {
+namespace {
+
+// Longest wait of a watch call. With the slack for its answer it is the time
+// within which a connection that went silent is noticed.
+constexpr absl::Duration kWatchWait = absl::Milliseconds(2400);
+constexpr absl::Duration kWatchSlack = absl::Milliseconds(600);
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(400);
+constexpr absl::Duration kFirstBackoff = absl::Milliseconds(60);
+constexpr absl::Duration kLongestBackoff = absl::Milliseconds(700);
+// Entries that lapsed in an outage are written again within 2 s of its end;
+// drained servers must be out by then too.
+constexpr absl::Duration kSettleTime = absl::Milliseconds(1800);
+constexpr size_t kMaxBodyBytes = size_t{8} << 20;
+constexpr int kOk = 200;
+constexpr int kHistoryGone = 410;
+
+struct SnapshotItem {
+  std::string key;
+  std::string value;
+  uint64_t revision = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(key, value, revision);
+  }
+};
+
+}  // namespace
+
+StoreSync::StoreSync(FrontContext& context, Listener listener)
+    : context_(context),
+      listener_(std::move(listener)),
+      retry_(context.loop, [this] { Call(); }),
+      timeout_(context.loop, [this] {
+        context_.client.Cancel(call_);
+        OnFailure("timeout");
+      }) {}
+
+void StoreSync::Start() { Call(); }
+
+void StoreSync::Call() {
+  auto server = Endpoint::Parse(context_.settings.store);
+  HttpRequest request;
+  absl::Duration timeout = kReadTimeout;
+  if (step_ == Step::kWatch) {
+    request = context_.protocol.WatchStore(revision_, kWatchWait);
+    timeout = kWatchWait + kWatchSlack;
+  } else {
+    request = context_.protocol.ReadStore(step_ == Step::kConfiguration
+                                              ? StoreSection::kConfiguration
+                                              : StoreSection::kBackends,
+                                          after_key_);
+  }
+  status_ = 0;
+  body_.clear();
+  CallOptions options;
+  options.connect_timeout = kConnectTimeout;
+  timeout_.Arm(timeout);
+  call_ = context_.client.Start(
+      *server, request, options,
+      [this](CallEvent event) { OnEvent(std::move(event)); });
+}
+
+void StoreSync::OnEvent(CallEvent event) {
+  std::visit(Overloaded{
+                 [&](HttpHead& head) { status_ = head.status; },
+                 [&](HttpBodyPart& part) {
+                   if (body_.size() + part.bytes.size() <= kMaxBodyBytes) {
+                     absl::StrAppend(&body_, part.bytes);
+                   }
+                 },
+                 [&](HttpEnd&) { OnAnswer(); },
+                 [&](CallFailure&) { OnFailure("connection failed"); },
+             },
+             event);
+}
+
+void StoreSync::OnAnswer() {
+  timeout_.Cancel();
+  ++context_.stats.store_calls[absl::StrCat(status_)];
+  if (status_ == kHistoryGone && step_ == Step::kWatch) {
+    context_.log.Write(context_.loop.Now(), "store_history_gone",
+                       {{"revision", revision_}});
+    step_ = Step::kConfiguration;
+    after_key_.clear();
+    Call();
+    return;
+  }
+  if (status_ != kOk) {
+    OnFailure(absl::StrCat("status ", status_));
+    return;
+  }
+  if (step_ == Step::kWatch) {
+    OnWatch();
+  } else {
+    OnPage();
+  }
+}
+
+void StoreSync::Regained() {
+  last_answer_ = context_.loop.Now();
+  if (had_outage_) {
+    settled_at_ = last_answer_ + kSettleTime;
+    had_outage_ = false;
+    listener_.on_reachable(true, "answers again");
+  }
+  failures_ = 0;
+}
+
+void StoreSync::OnFailure(absl::string_view why) {
+  timeout_.Cancel();
+  call_ = CallId();
+  if (status_ == 0) ++context_.stats.store_calls["none"];
+  ++failures_;
+  if (failures_ >= kOutageFailures && !had_outage_) {
+    had_outage_ = true;
+    listener_.on_reachable(false, why);
+  }
+  // A cut watch is taken up again at once.
+  retry_.Arm(failures_ == 1 ? absl::ZeroDuration() : Backoff());
+}
+
+absl::Duration StoreSync::Backoff() {
+  absl::Duration delay = kFirstBackoff;
+  for (int it = 2; it < failures_ && delay < kLongestBackoff; ++it) delay *= 2;
+  delay = std::min(delay, kLongestBackoff);
+  return delay * absl::Uniform(random_, 0.5, 1.0);
+}
+
+void StoreSync::OnPage() {
+  std::optional<StorePage> page = context_.protocol.ReadPage(body_);
+  if (!page) {
+    OnFailure("unreadable answer");
+    return;
+  }
+  Regained();
+  bool is_first = step_ == Step::kConfiguration && after_key_.empty();
+  if (is_first) {
+    load_revision_ = page->revision;
+    loaded_keys_.clear();
+  }
+  for (const StoreItem& it : page->items) {
+    loaded_keys_.insert(it.key);
+    Apply(it);
+  }
+  if (page->has_more && !page->items.empty()) {
+    after_key_ = page->items.back().key;
+    Call();
+    return;
+  }
+  after_key_.clear();
+  if (step_ == Step::kConfiguration) {
+    step_ = Step::kBackends;
+  } else {
+    has_backends_ = true;
+    RemoveMissing();
+    // Changes between the first and the last page are seen again.
+    revision_ = load_revision_;
+    step_ = Step::kWatch;
+  }
+  Call();
+}
+
+void StoreSync::RemoveMissing() {
+  std::vector<std::string> missing;
+  for (const auto& it : items_) {
+    if (loaded_keys_.count(it.first) == 0) missing.push_back(it.first);
+  }
+  for (const std::string& it : missing) {
+    StoreItem removal;
+    removal.key = it;
+    removal.removed = true;
+    removal.revision = load_revision_;
+    Apply(removal);
+  }
+}
+
+void StoreSync::OnWatch() {
+  std::optional<StorePage> page = context_.protocol.ReadWatch(body_);
+  if (!page) {
+    OnFailure("unreadable answer");
+    return;
+  }
+  Regained();
+  for (const StoreItem& it : page->items) Apply(it);
+  revision_ = std::max(revision_, page->revision);
+  Call();
+}
+
+void StoreSync::Apply(const StoreItem& item) {
+  auto known = items_.find(item.key);
+  if (known != items_.end() && known->second.revision > item.revision) return;
+  StoreFact fact = context_.protocol.ReadItem(item);
+  std::visit(
+      Overloaded{
+          [](UnrelatedItem&) {},
+          [&](MalformedItem& it) {
+            ++context_.stats.malformed_items;
+            context_.log.Write(context_.loop.Now(), "store_item_malformed",
+                               {{"key", item.key},
+                                {"revision", item.revision},
+                                {"reason", it.reason}});
+          },
+          [&](BackendRecord& it) {
+            items_[item.key] = item;
+            listener_.on_backend(it);
+          },
+          [&](BackendRemoved& it) {
+            items_.erase(item.key);
+            ApplyRemoval(it.id);
+          },
+          [&](RouteTable& it) {
+            if (it.version.value() <= version_) return;
+            version_ = it.version.value();
+            items_[item.key] = item;
+            listener_.on_table(it);
+          },
+      },
+      fact);
+}
+
+void StoreSync::ApplyRemoval(const BackendName& id) {
+  absl::Time now = context_.loop.Now();
+  listener_.on_removed(id, std::max(now, settled_at_));
+}
+
+std::string StoreSync::Snapshot() const {
+  List<SnapshotItem> items;
+  for (const auto& it : items_) {
+    items.items.push_back({it.first, it.second.value, it.second.revision});
+  }
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(revision_, items);
+  return bytes;
+}
+
+bool StoreSync::TakeSnapshot(const std::string& snapshot) {
+  uint64_t revision = 0;
+  List<SnapshotItem> items;
+  try {
+    BinaryReader reader(snapshot);
+    reader(revision, items);
+  } catch (const cereal::Exception& error) {
+    context_.log.Write(context_.loop.Now(), "peer_copy_malformed",
+                       {{"reason", error.what()}});
+    return false;
+  }
+  if (revision <= revision_) return true;
+  loaded_keys_.clear();
+  for (const SnapshotItem& it : items.items) {
+    loaded_keys_.insert(it.key);
+    Apply({it.key, it.value, it.revision, false});
+  }
+  load_revision_ = revision;
+  has_backends_ = has_backends_ || !items.items.empty();
+  RemoveMissing();
+  revision_ = revision;
+  if (step_ != Step::kWatch && has_table()) {
+    // The store is asked only for what has changed since.
+    step_ = Step::kWatch;
+    after_key_.clear();
+  }
+  return true;
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/net/http_client.cc
@@ -0,0 +1,321 @@
+// Event-driven HTTP client on bufferevents.
+
+#include "chervilwick/net/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+// Longest head of an answer.
+constexpr size_t kMaxAnswerHeadBytes = size_t{32} << 10;
+// Kept connections are closed after that time without a call.
+constexpr absl::Duration kKeepTime = absl::Seconds(10);
+// A kept connection is not used in the last part of the time that its server
+// announced: the server's close may already be on its way.
+constexpr absl::Duration kKeepAliveMargin = absl::Milliseconds(700);
+// Kept connections to one server.
+constexpr size_t kMaxKeptPerServer = 32;
+
+// Seconds in a Keep-Alive field; infinite where it states none.
+absl::Duration KeepAliveTimeout(const HttpHead& head) {
+  const std::string* field = head.Find("Keep-Alive");
+  if (field == nullptr) return absl::InfiniteDuration();
+  for (absl::string_view part :
+       absl::StrSplit(*field, absl::ByAnyChar(", "), absl::SkipEmpty())) {
+    std::pair<absl::string_view, absl::string_view> pair =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    int64_t seconds = 0;
+    if (pair.first == "timeout" && absl::SimpleAtoi(pair.second, &seconds)) {
+      return absl::Seconds(seconds);
+    }
+  }
+  return absl::InfiniteDuration();
+}
+
+}  // namespace
+
+class HttpClient::Connection {
+ public:
+  Connection(HttpClient& client, const Endpoint& server,
+             absl::Duration connect_timeout)
+      : client_(client),
+        server_(server),
+        reader_(HttpReader::Role::kResponse, kMaxAnswerHeadBytes,
+                [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
+        timer_(client.loop_, [this] { OnTimeout(); }) {
+    buffers_ = bufferevent_socket_new(
+        client.loop_.base(), -1,
+        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(buffers_, &OnRead, nullptr, &OnState, this);
+    bufferevent_enable(buffers_, EV_READ | EV_WRITE);
+    timer_.Arm(connect_timeout);
+    sockaddr_in address = server.ToSockaddr();
+    // A failure that is known at once is reported by the event callback too.
+    bufferevent_socket_connect(buffers_, reinterpret_cast<sockaddr*>(&address),
+                               sizeof(address));
+    if (bufferevent_getfd(buffers_) >= 0) {
+      SetTcpOptions(bufferevent_getfd(buffers_), client.silence_);
+    }
+  }
+
+  ~Connection() { bufferevent_free(buffers_); }
+
+  void Begin(CallId id, const HttpRequest& request, const CallOptions& options,
+             CallHandler handler) {
+    call_ = id;
+    handler_ = std::move(handler);
+    accepts_ = options.accepts;
+    reader_.Reset(request.head.method == "HEAD");
+    std::string bytes = EncodeRequest(request);
+    unsent_bytes_ = bytes.size();
+    bufferevent_write(buffers_, bytes.data(), bytes.size());
+    if (connected_) timer_.Cancel();
+  }
+
+  CallId call() const { return call_; }
+  const Endpoint& server() const { return server_; }
+
+  bool IsUnsent() const { return !connected_ || OutputBytes() >= unsent_bytes_; }
+
+  bool IsUsable(absl::Time now, absl::Duration max_idle) const {
+    return now - idle_since_ <
+           std::min(max_idle, keep_alive_ - kKeepAliveMargin);
+  }
+
+ private:
+  static Connection& Self(void* context) {
+    return *static_cast<Connection*>(context);
+  }
+  static void OnRead(bufferevent* /*buffers*/, void* context) {
+    Self(context).ReadAnswer();
+  }
+  static void OnState(bufferevent* /*buffers*/, int16_t what, void* context) {
+    Connection& self = Self(context);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      self.connected_ = true;
+      self.timer_.Cancel();
+      return;
+    }
+    self.OnClosed((what & BEV_EVENT_EOF) != 0);
+  }
+
+  size_t OutputBytes() const {
+    return evbuffer_get_length(bufferevent_get_output(buffers_));
+  }
+
+  void ReadAnswer() {
+    evbuffer* input = bufferevent_get_input(buffers_);
+    while (true) {
+      size_t n = evbuffer_get_length(input);
+      if (n == 0) return;
+      if (call_.value() == 0) {
+        // Bytes after a complete answer belong to no request.
+        client_.Remove(this);
+        return;
+      }
+      const char* data =
+          reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+      CallId call = call_;
+      size_t taken = reader_.Feed({data, n});
+      evbuffer_drain(input, taken);
+      // The handler may have cancelled the call.
+      if (removed_ || call_ != call) return;
+      if (reader_.error() != HttpReadError::kNone) {
+        Fail(CallError::kMalformed);
+        return;
+      }
+      if (reader_.IsDone() && !FinishMessage()) return;
+    }
+  }
+
+  void OnEvent(HttpReadEvent event) {
+    std::visit(
+        Overloaded{
+            [this](HttpHead& head) {
+              closes_ = !head.keep_alive || head.ends_with_connection;
+              keep_alive_ = KeepAliveTimeout(head);
+              skips_ = accepts_ && !accepts_(head);
+              if (!skips_) handler_(std::move(head));
+            },
+            [this](HttpBodyPart& part) {
+              if (!skips_ && handler_) handler_(part);
+            },
+            [](HttpEnd&) {},
+        },
+        event);
+  }
+
+  // The answer has ended. Returns whether the connection is read further.
+  bool FinishMessage() {
+    if (skips_) {
+      if (closes_) {
+        Fail(CallError::kClosed);
+        return false;
+      }
+      reader_.Reset();
+      return true;
+    }
+    bool early = OutputBytes() != 0;
+    size_t extra = evbuffer_get_length(bufferevent_get_input(buffers_));
+    CallHandler handler = std::move(handler_);
+    EndCall();
+    if (closes_ || early || extra != 0) {
+      client_.Remove(this);
+    } else {
+      idle_since_ = client_.loop_.Now();
+      client_.Keep(this);
+      timer_.Arm(std::min(kKeepTime, keep_alive_));
+    }
+    handler(HttpEnd{});
+    return false;
+  }
+
+  void EndCall() {
+    client_.calls_.erase(call_);
+    call_ = CallId();
+    handler_ = nullptr;
+  }
+
+  void OnClosed(bool orderly) {
+    if (call_.value() == 0) {
+      client_.Remove(this);
+      return;
+    }
+    CallId call = call_;
+    if (orderly) reader_.FeedEnd();
+    if (removed_ || call_ != call) return;
+    if (orderly && reader_.IsDone() && !skips_) {
+      closes_ = true;
+      FinishMessage();
+      return;
+    }
+    Fail(connected_ ? CallError::kClosed : CallError::kConnect);
+  }
+
+  void OnTimeout() {
+    if (call_.value() == 0) {
+      client_.Remove(this);
+    } else {
+      Fail(CallError::kConnect);
+    }
+  }
+
+  void Fail(CallError error) {
+    CallFailure failure{error, !IsUnsent()};
+    CallHandler handler = std::move(handler_);
+    EndCall();
+    client_.Remove(this);
+    if (handler) handler(failure);
+  }
+
+  friend class HttpClient;
+
+  HttpClient& client_;
+  Endpoint server_;
+  HttpReader reader_;
+  Timer timer_;
+  bufferevent* buffers_ = nullptr;
+  CallId call_;
+  CallHandler handler_;
+  std::function<bool(const HttpHead&)> accepts_;
+  size_t unsent_bytes_ = 0;
+  bool connected_ = false;
+  bool removed_ = false;
+  bool skips_ = false;   // the message being read answers another request
+  bool closes_ = false;  // the server closes after this answer
+  absl::Duration keep_alive_ = absl::InfiniteDuration();
+  absl::Time idle_since_ = absl::InfinitePast();
+};
+
+HttpClient::HttpClient(EventLoop& loop, absl::Duration silence)
+    : loop_(loop), silence_(silence) {}
+
+HttpClient::~HttpClient() = default;
+
+CallId HttpClient::Start(const Endpoint& server, const HttpRequest& request,
+                         const CallOptions& options, CallHandler handler) {
+  CallId id(next_id_++);
+  Connection* connection = TakeKept(server, options.max_idle);
+  if (connection == nullptr) {
+    connection = Connect(server, options.connect_timeout);
+  }
+  calls_[id] = connection;
+  connection->Begin(id, request, options, std::move(handler));
+  return id;
+}
+
+HttpClient::Connection* HttpClient::TakeKept(const Endpoint& server,
+                                             absl::Duration max_idle) {
+  auto it = kept_.find(server);
+  if (it == kept_.end() || it->second.empty()) return nullptr;
+  Connection* connection = it->second.back();
+  if (!connection->IsUsable(loop_.Now(), max_idle)) return nullptr;
+  it->second.pop_back();
+  return connection;
+}
+
+HttpClient::Connection* HttpClient::Connect(const Endpoint& server,
+                                            absl::Duration timeout) {
+  ++connections_made_;
+  auto connection = std::make_unique<Connection>(*this, server, timeout);
+  Connection* key = connection.get();
+  connections_[key] = std::move(connection);
+  return key;
+}
+
+void HttpClient::Keep(Connection* connection) {
+  std::vector<Connection*>& kept = kept_[connection->server()];
+  if (kept.size() >= kMaxKeptPerServer) {
+    Remove(connection);
+    return;
+  }
+  kept.push_back(connection);
+}
+
+void HttpClient::Remove(Connection* connection) {
+  auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  calls_.erase(connection->call());
+  auto kept = kept_.find(connection->server());
+  if (kept != kept_.end()) {
+    auto& list = kept->second;
+    list.erase(std::remove(list.begin(), list.end(), connection), list.end());
+    if (list.empty()) kept_.erase(kept);
+  }
+  connection->removed_ = true;
+  bufferevent_disable(connection->buffers_, EV_READ | EV_WRITE);
+  bufferevent_setcb(connection->buffers_, nullptr, nullptr, nullptr, nullptr);
+  connection->timer_.Cancel();
+  loop_.DeferDelete(std::move(it->second));
+  connections_.erase(it);
+}
+
+void HttpClient::Cancel(CallId id) {
+  auto it = calls_.find(id);
+  if (it != calls_.end()) Remove(it->second);
+}
+
+void HttpClient::Forget(const Endpoint& server) {
+  auto it = kept_.find(server);
+  if (it == kept_.end()) return;
+  std::vector<Connection*> kept = it->second;
+  for (Connection* connection : kept) Remove(connection);
+}
+
+bool HttpClient::IsUnsent(CallId id) const {
+  auto it = calls_.find(id);
+  return it != calls_.end() && it->second->IsUnsent();
+}
+
+}  // namespace chervilwick
--- /dev/null
+++ b/lib/net/http_server.cc
@@ -0,0 +1,355 @@
+// Event-driven HTTP server on bufferevents.
+
+#include "chervilwick/net/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+// Bytes that a client may send ahead before reading stops.
+constexpr size_t kReadAheadBytes = size_t{64} << 10;
+// A client that acknowledges nothing for that long has gone.
+constexpr absl::Duration kClientSilence = absl::Seconds(6);
+// Time for the last bytes to reach a client before its connection is closed.
+constexpr absl::Duration kLingerTime = absl::Seconds(2);
+
+bool HasOneHost(const HttpHead& head) {
+  int hosts = 0;
+  for (const HttpField& it : head.fields) {
+    if (absl::EqualsIgnoreCase(it.name, "Host")) ++hosts;
+  }
+  return hosts == 1;
+}
+
+}  // namespace
+
+struct HttpServer::Listener {
+  evconnlistener* handle = nullptr;
+
+  ~Listener() {
+    if (handle != nullptr) evconnlistener_free(handle);
+  }
+};
+
+class HttpServer::Connection {
+ public:
+  Connection(HttpServer& server, int socket, const Endpoint& client)
+      : server_(server),
+        client_(client),
+        reader_(HttpReader::Role::kRequest, server.limits_.max_head_bytes,
+                [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
+        timer_(server.loop_, [this] { OnTimeout(); }) {
+    SetTcpOptions(socket, kClientSilence);
+    buffers_ = bufferevent_socket_new(server.loop_.base(), socket,
+                                      BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(buffers_, &OnRead, &OnWritten, &OnState, this);
+    bufferevent_setwatermark(buffers_, EV_READ, 0, kReadAheadBytes);
+    bufferevent_enable(buffers_, EV_READ | EV_WRITE);
+    timer_.Arm(server_.limits_.idle_timeout);
+  }
+
+  ~Connection() {
+    DropBody();
+    bufferevent_free(buffers_);
+  }
+
+  // Stops all callbacks; the object is deleted later.
+  void Detach() {
+    timer_.Cancel();
+    bufferevent_disable(buffers_, EV_READ | EV_WRITE);
+    bufferevent_setcb(buffers_, nullptr, nullptr, nullptr, nullptr);
+    detached_ = true;
+  }
+
+  ExchangeId exchange() const { return exchange_; }
+  bool IsIdle() const { return exchange_.value() == 0 && reader_.IsIdle(); }
+
+  void Respond(const HttpResponse& response) {
+    Write(EncodeResponse(response, KeepsOpen()));
+    FinishExchange();
+  }
+
+  void BeginStream(int status, const std::vector<HttpField>& fields) {
+    Write(EncodeChunkedHead(status, fields, KeepsOpen()));
+  }
+
+  void SendStream(absl::string_view bytes) {
+    if (!bytes.empty()) Write(EncodeChunk(bytes));
+    evbuffer* output = bufferevent_get_output(buffers_);
+    if (evbuffer_get_length(output) > server_.limits_.max_output_bytes) {
+      // From the loop, not from inside the sender's call.
+      stalled_ = true;
+      timer_.Arm(absl::ZeroDuration());
+    }
+  }
+
+  void EndStream() {
+    Write("0\r\n\r\n");
+    FinishExchange();
+  }
+
+ private:
+  static Connection& Self(void* context) {
+    return *static_cast<Connection*>(context);
+  }
+  static void OnRead(bufferevent* /*buffers*/, void* context) {
+    Self(context).ReadRequests();
+  }
+  static void OnWritten(bufferevent* /*buffers*/, void* context) {
+    Self(context).AfterWrite();
+  }
+  static void OnState(bufferevent* /*buffers*/, int16_t what, void* context) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) Self(context).OnGone();
+  }
+
+  bool KeepsOpen() const { return keep_alive_ && !server_.closing_; }
+
+  void Write(absl::string_view bytes) {
+    bufferevent_write(buffers_, bytes.data(), bytes.size());
+  }
+
+  void ReadRequests() {
+    evbuffer* input = bufferevent_get_input(buffers_);
+    // A request that was sent ahead waits for the answer to the one before.
+    while (exchange_.value() == 0 && !ending_ && !detached_) {
+      size_t n = evbuffer_get_length(input);
+      if (n == 0) return;
+      bool was_idle = reader_.IsIdle();
+      const char* data =
+          reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+      size_t taken = reader_.Feed({data, n});
+      evbuffer_drain(input, taken);
+      if (reader_.error() != HttpReadError::kNone) {
+        RejectBytes();
+        return;
+      }
+      if (was_idle && reader_.IsInHead()) {
+        timer_.Arm(server_.limits_.head_timeout);
+      }
+      if (reader_.IsDone()) Deliver();
+    }
+  }
+
+  void OnEvent(HttpReadEvent event) {
+    std::visit(Overloaded{
+                   [this](HttpHead& head) { OnHead(std::move(head)); },
+                   [this](HttpBodyPart& part) { OnBody(part.bytes); },
+                   [](HttpEnd&) {},
+               },
+               event);
+  }
+
+  void OnHead(HttpHead head) {
+    timer_.Arm(server_.limits_.body_timeout);
+    keep_alive_ = head.keep_alive;
+    rejection_ = HasOneHost(head) ? 0 : 400;
+    const std::string* expect = head.Find("Expect");
+    if (expect != nullptr && absl::EqualsIgnoreCase(*expect, "100-continue")) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    request_.head = std::move(head);
+  }
+
+  void OnBody(absl::string_view bytes) {
+    if (rejection_ != 0) return;
+    if (request_.body.size() + bytes.size() > server_.limits_.max_body_bytes) {
+      rejection_ = 413;
+    } else if (server_.buffered_bytes_ + bytes.size() >
+               server_.limits_.max_buffered_bytes) {
+      rejection_ = 503;
+    }
+    if (rejection_ != 0) return;
+    absl::StrAppend(&request_.body, bytes);
+    counted_bytes_ += bytes.size();
+    server_.buffered_bytes_ += bytes.size();
+  }
+
+  void DropBody() {
+    server_.buffered_bytes_ -= counted_bytes_;
+    counted_bytes_ = 0;
+  }
+
+  void Deliver() {
+    timer_.Cancel();
+    exchange_ = ExchangeId(server_.next_id_++);
+    server_.exchanges_[exchange_] = this;
+    if (rejection_ != 0) {
+      keep_alive_ = false;
+      Respond({rejection_, {}, ""});
+      return;
+    }
+    // May answer at once and so change this connection's state.
+    server_.handlers_.on_request(exchange_, client_, std::move(request_));
+  }
+
+  void RejectBytes() {
+    bool too_large = reader_.error() == HttpReadError::kHeadTooLarge;
+    keep_alive_ = false;
+    Write(EncodeResponse({too_large ? 431 : 400, {}, ""}, false));
+    End();
+  }
+
+  void FinishExchange() {
+    bool keeps_open = KeepsOpen();
+    server_.exchanges_.erase(exchange_);
+    exchange_ = ExchangeId();
+    DropBody();
+    request_ = HttpRequest();
+    if (!keeps_open) {
+      End();
+      return;
+    }
+    reader_.Reset();
+    reader_.SetMaxHeadBytes(server_.limits_.max_head_bytes);
+    timer_.Arm(server_.limits_.idle_timeout);
+    if (evbuffer_get_length(bufferevent_get_input(buffers_)) != 0) {
+      // Not from here: the caller may still be inside on_request.
+      bufferevent_trigger(buffers_, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+    }
+  }
+
+  // Closes once the output has been sent and the client has closed.
+  void End() {
+    ending_ = true;
+    timer_.Arm(kLingerTime);
+    AfterWrite();
+  }
+
+  void AfterWrite() {
+    if (!ending_) return;
+    evbuffer* output = bufferevent_get_output(buffers_);
+    if (evbuffer_get_length(output) != 0) return;
+    shutdown(bufferevent_getfd(buffers_), SHUT_WR);
+    // Unread bytes would turn the close into a reset that may overtake the
+    // answer.
+    evbuffer* input = bufferevent_get_input(buffers_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+  }
+
+  void OnTimeout() {
+    if (stalled_) {
+      OnGone();
+      return;
+    }
+    if (exchange_.value() == 0 && !reader_.IsIdle() && !ending_) {
+      keep_alive_ = false;
+      Write(EncodeResponse({408, {}, ""}, false));
+      End();
+      return;
+    }
+    server_.Remove(this);
+  }
+
+  void OnGone() {
+    ExchangeId id = exchange_;
+    HttpServer& server = server_;
+    server.Remove(this);
+    if (id.value() != 0) server.handlers_.on_client_gone(id);
+  }
+
+  HttpServer& server_;
+  Endpoint client_;
+  HttpReader reader_;
+  Timer timer_;
+  bufferevent* buffers_ = nullptr;
+  HttpRequest request_;
+  size_t counted_bytes_ = 0;
+  ExchangeId exchange_;
+  bool keep_alive_ = true;
+  bool ending_ = false;
+  bool stalled_ = false;  // takes its output too slowly
+  bool detached_ = false;
+  int rejection_ = 0;
+};
+
+HttpServer::HttpServer(EventLoop& loop, Handlers handlers)
+    : loop_(loop), handlers_(std::move(handlers)) {}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Listen(const Endpoint& endpoint) {
+  int socket = ListenTcp(endpoint);
+  if (socket < 0) return false;
+  listener_ = std::make_unique<Listener>();
+  listener_->handle = evconnlistener_new(
+      loop_.base(),
+      [](evconnlistener* /*listener*/, int accepted, sockaddr* address,
+         int /*length*/, void* context) {
+        static_cast<HttpServer*>(context)->Accept(
+            accepted,
+            Endpoint::From(*reinterpret_cast<sockaddr_in*>(address)));
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, socket);
+  return listener_->handle != nullptr;
+}
+
+void HttpServer::StopListening() { listener_.reset(); }
+
+void HttpServer::Accept(int socket, const Endpoint& client) {
+  if (connections_.size() >= limits_.max_connections) {
+    close(socket);
+    return;
+  }
+  auto connection = std::make_unique<Connection>(*this, socket, client);
+  Connection* key = connection.get();
+  connections_[key] = std::move(connection);
+}
+
+void HttpServer::Remove(Connection* connection) {
+  auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  exchanges_.erase(connection->exchange());
+  connection->Detach();
+  loop_.DeferDelete(std::move(it->second));
+  connections_.erase(it);
+}
+
+void HttpServer::CloseIdle() {
+  std::vector<Connection*> idle;
+  for (const auto& it : connections_) {
+    if (it.first->IsIdle()) idle.push_back(it.first);
+  }
+  for (Connection* it : idle) Remove(it);
+}
+
+HttpServer::Connection* HttpServer::Find(ExchangeId id) {
+  auto it = exchanges_.find(id);
+  return it == exchanges_.end() ? nullptr : it->second;
+}
+
+void HttpServer::Respond(ExchangeId id, const HttpResponse& response) {
+  if (Connection* it = Find(id)) it->Respond(response);
+}
+
+void HttpServer::BeginStream(ExchangeId id, int status,
+                             const std::vector<HttpField>& fields) {
+  if (Connection* it = Find(id)) it->BeginStream(status, fields);
+}
+
+void HttpServer::SendStream(ExchangeId id, absl::string_view bytes) {
+  if (Connection* it = Find(id)) it->SendStream(bytes);
+}
+
+void HttpServer::EndStream(ExchangeId id) {
+  if (Connection* it = Find(id)) it->EndStream();
+}
+
+void HttpServer::Abort(ExchangeId id) {
+  if (Connection* it = Find(id)) Remove(it);
+}
+
+}  // namespace chervilwick
--- a/lib/settings/settings.cc
+++ b/lib/settings/settings.cc
@@ -134,6 +134,31 @@
           }};
 }
 
+KeyRule Real(const std::string& key, double low, double high, double& value) {
+  return {{key, absl::StrCat("a number from ", low, " to ", high), false},
+          [low, high, &value](const std::string& text) {
+            double parsed = 0;
+            if (!absl::SimpleAtod(text, &parsed) || !(parsed >= low) ||
+                !(parsed <= high)) {
+              return false;
+            }
+            value = parsed;
+            return true;
+          }};
+}
+
+KeyRule Addresses(const std::string& key, std::string& value) {
+  return {{key, "IP addresses with ports, parted by commas", false},
+          [&value](const std::string& text) {
+            for (absl::string_view it :
+                 absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+              if (!IsAddress(std::string(it))) return false;
+            }
+            value = text;
+            return true;
+          }};
+}
+
 KeyRule Flag(const std::string& key, bool& value) {
   return {{key, "true or false", false}, [&value](const std::string& text) {
             if (text != "true" && text != "false") return false;
@@ -150,6 +175,32 @@
           }};
 }
 
+std::vector<KeyRule> FrontRules(FrontSettings& settings) {
+  return {
+      Name("name", settings.name),
+      Name("zone", settings.zone),
+      Address("clients", settings.clients),
+      Address("ready", settings.ready),
+      Address("control", settings.control),
+      Address("metrics", settings.metrics),
+      Address("peers", settings.peers),
+      Address("store", settings.store),
+      Addresses("seeds", settings.seeds),
+      DurationOf("shutdown_limit", absl::Seconds(1), absl::Hours(1),
+                 settings.shutdown_limit),
+      DurationOf("contact_limit", absl::Milliseconds(500), absl::Minutes(1),
+                 settings.contact_limit),
+      DurationOf("drain_limit", absl::Milliseconds(500), absl::Minutes(1),
+                 settings.drain_limit),
+      Real("retry_ratio", 0, 10, settings.retry_ratio),
+      Real("retry_slack", 0, 1e6, settings.retry_slack),
+      DurationOf("retry_window", absl::Seconds(1), absl::Minutes(10),
+                 settings.retry_window),
+      Bytes("memory_limit", uint64_t{32} << 20, uint64_t{64} << 30,
+            settings.memory_limit),
+  };
+}
+
 std::vector<KeyRule> EntryRules(EntrySettings& settings) {
   return {
       Name("name", settings.name),
@@ -248,6 +299,13 @@
 
 }  // namespace
 
+std::optional<FrontSettings> LoadFrontSettings(const std::string& file,
+                                               SettingsError& error) {
+  FrontSettings settings;
+  if (!ReadFile(file, FrontRules(settings), error)) return std::nullopt;
+  return settings;
+}
+
 std::optional<EntrySettings> LoadEntrySettings(const std::string& file,
                                                SettingsError& error) {
   EntrySettings settings;
@@ -262,6 +320,11 @@
   return settings;
 }
 
+std::vector<SettingsKey> FrontSettingsKeys() {
+  FrontSettings settings;
+  return KeysOf(FrontRules(settings));
+}
+
 std::vector<SettingsKey> EntrySettingsKeys() {
   EntrySettings settings;
   return KeysOf(EntryRules(settings));
--- a/lib/platform/host_list.cc
+++ b/lib/store/host_list.cc
@@ -1,6 +1,6 @@
 // Parsing of the platform's host list.
 
-#include "chervilwick/platform/host_list.h"
+#include "chervilwick/store/host_list.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/lib/platform/host_list_client.cc
+++ b/lib/store/host_list_client.cc
@@ -1,6 +1,6 @@
 // Reader of the platform's host list.
 
-#include "chervilwick/platform/host_list_client.h"
+#include "chervilwick/store/host_list_client.h"
 
 #include <httplib.h>
 
--- a/lib/platform/kv_client.cc
+++ b/lib/store/kv_client.cc
@@ -1,6 +1,6 @@
 // Client of the key-value service.
 
-#include "chervilwick/platform/kv_client.h"
+#include "chervilwick/store/kv_client.h"
 
 #include <httplib.h>
 
--- a/lib/platform/kv_json.cc
+++ b/lib/store/kv_json.cc
@@ -6,7 +6,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "chervilwick/platform/kv_client.h"
+#include "chervilwick/store/kv_client.h"
 #include "chervilwick/support/overloaded.h"
 
 namespace chervilwick {
--- a/unittests/platform/platform_test.cc
+++ b/unittests/store/store_test.cc
@@ -3,8 +3,8 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "chervilwick/platform/host_list.h"
-#include "chervilwick/platform/kv_client.h"
+#include "chervilwick/store/host_list.h"
+#include "chervilwick/store/kv_client.h"
 
 namespace chervilwick {
 namespace {
