Keep ended requests valid until the event that ended them is over

Cause: Finish destroyed a request while callers further up still held a reference: Deliver -> DeliverHeldBack -> Deliver -> TryComplete -> Finish, after which the outer Deliver went on with it. Ruled out: copying the id at that one line, since every caller of Finish has the same hazard. Change: Finish takes the request out of the table and marks it ended; the entry's core destroys ended requests between events.

--- a/include/chervilwick/entry/call_flow.h
+++ b/include/chervilwick/entry/call_flow.h
@@ -24,6 +24,7 @@
   kRunning,    // ordered at an agent
   kFencing,    // finds out whether an own attempt ran
   kFollowing,  // finds out what became of another entry's attempt
+  kEnded,      // answered or given up; destroyed after the event
 };
 
 struct CallRequest {
@@ -65,6 +66,9 @@
   bool On(const UnknownAttempt& message, absl::Time now);
   bool On(const FenceResult& message, absl::Time now);
 
+  // Destroys requests that have ended. Called between events, when no caller
+  // holds a reference to one.
+  void ReapEnded() { ended_.clear(); }
   void AppendActive(const NodeName& agent, List<AttemptId>& active) const;
   size_t active_count() const { return requests_.size(); }
   size_t pending_claims() const { return claims_.pending(); }
@@ -93,6 +97,8 @@
   void ObserveLatency(const std::string& prefix, absl::Duration latency);
   void FlushClaims(absl::Time now);
   void Finish(CallRequest& request, RequestOutcome outcome);
+  // Takes the request out of the table; it stays valid until ReapEnded.
+  void Retire(CallRequest& request);
   void DropLeg(CallRequest& request, std::optional<Leg>& leg, bool release);
   void Track(const AttemptId& id, const RequestId& request);
   void Untrack(const AttemptId& id, const RequestId& request);
@@ -104,6 +110,7 @@
   EntryContext& context_;
   ClaimLog claims_;
   absl::btree_map<RequestId, std::unique_ptr<CallRequest>> requests_;
+  std::vector<std::unique_ptr<CallRequest>> ended_;
   absl::btree_map<AttemptId, std::vector<RequestId>> by_attempt_;
   std::map<std::string, double> slow_us_;  // 95th percentile by path prefix
   absl::Time next_check_ = absl::InfinitePast();
--- a/include/chervilwick/entry/stream_flow.h
+++ b/include/chervilwick/entry/stream_flow.h
@@ -39,6 +39,9 @@
   bool On(const Done& message, absl::Time now);
   bool On(const UnknownAttempt& message, absl::Time now);
 
+  // Destroys requests that have ended. Called between events, when no caller
+  // holds a reference to one.
+  void ReapEnded() { ended_.clear(); }
   // Attempts at an agent whose leases are to be renewed.
   void AppendActive(const NodeName& agent, List<AttemptId>& active) const;
   size_t active_count() const { return requests_.size(); }
@@ -109,10 +112,13 @@
   void DropLeg(std::optional<Leg>& leg, bool release);
   void DropAllLegs(StreamRequest& request);
   void Finish(StreamRequest& request, RequestOutcome outcome);
+  // Takes the request out of the table; it stays valid until ReapEnded.
+  void Retire(StreamRequest& request);
 
   EntryContext& context_;
   PrefixIndex prefixes_;
   absl::btree_map<RequestId, RequestPtr> requests_;
+  std::vector<RequestPtr> ended_;
   absl::flat_hash_map<AttemptId, RequestId> by_attempt_;
   struct ModelQueue {
     AdmissionQueue waiting;
--- a/include/chervilwick/entry/stream_request.h
+++ b/include/chervilwick/entry/stream_request.h
@@ -22,6 +22,7 @@
   kScheduled,  // has a place; the prefill starts in time for it
   kPrefilling,
   kDecoding,
+  kEnded,  // answered or given up; destroyed after the event
 };
 
 // One attempt of a request at a backend server.
--- a/lib/entry/call_flow.cc
+++ b/lib/entry/call_flow.cc
@@ -232,7 +232,14 @@
   if (!request.client_gone) {
     context_.Act(FinishRequest{id, std::move(outcome)});
   }
-  requests_.erase(id);
+  Retire(request);
+}
+
+void CallFlow::Retire(CallRequest& request) {
+  auto it = requests_.find(request.ask.id);
+  request.phase = CallPhase::kEnded;
+  ended_.push_back(std::move(it->second));
+  requests_.erase(it);
 }
 
 void CallFlow::Track(const AttemptId& id, const RequestId& request) {
--- a/lib/entry/call_recovery.cc
+++ b/lib/entry/call_recovery.cc
@@ -291,6 +291,7 @@
   }
   switch (request.phase) {
     case CallPhase::kClaiming:
+    case CallPhase::kEnded:
       return;
     case CallPhase::kRunning:
       CheckRunning(request, now);
@@ -323,6 +324,8 @@
 
 void CallFlow::CheckDeadline(CallRequest& request, absl::Time now) {
   switch (request.phase) {
+    case CallPhase::kEnded:
+      return;
     case CallPhase::kClaiming:
       Finish(request, NotRun(504, "deadline_exceeded",
                              "the deadline passed before the call could run",
@@ -357,7 +360,7 @@
   if (!droppable) return;
   DropLeg(request, request.leg, true);
   DropLeg(request, request.hedge, true);
-  requests_.erase(it);
+  Retire(request);
 }
 
 }  // namespace chervilwick
--- a/lib/entry/entry_core.cc
+++ b/lib/entry/entry_core.cc
@@ -52,6 +52,8 @@
           [&](const EntryTick&) { OnTick(now); },
       },
       event);
+  streams_.ReapEnded();
+  calls_.ReapEnded();
   FlushVersions();
   SendHeartbeats(now);
   CheckDrained();
--- a/lib/entry/stream_delivery.cc
+++ b/lib/entry/stream_delivery.cc
@@ -55,6 +55,7 @@
   context_.stats.tokens += fresh.size();
   context_.Act(DeliverTokens{request.ask.id, std::move(fresh)});
   DeliverHeldBack(request, now);
+  if (request.phase == StreamPhase::kEnded) return;
   TryComplete(request, now);
 }
 
@@ -69,7 +70,7 @@
   request.held_back.erase(it);
   Deliver(request, piece, now);
   // Deliver does nothing when the piece brings no new token.
-  if (requests_.contains(request.ask.id)) DeliverHeldBack(request, now);
+  if (request.phase != StreamPhase::kEnded) DeliverHeldBack(request, now);
 }
 
 void StreamFlow::ObserveTokens(StreamRequest& request, size_t tokens,
--- a/lib/entry/stream_recovery.cc
+++ b/lib/entry/stream_recovery.cc
@@ -82,7 +82,14 @@
   DropAllLegs(request);
   RequestId id = request.ask.id;
   context_.Act(FinishRequest{id, std::move(outcome)});
-  requests_.erase(id);
+  Retire(request);
+}
+
+void StreamFlow::Retire(StreamRequest& request) {
+  auto it = requests_.find(request.ask.id);
+  request.phase = StreamPhase::kEnded;
+  ended_.push_back(std::move(it->second));
+  requests_.erase(it);
 }
 
 void StreamFlow::OnClientGone(const RequestId& id, absl::Time now) {
@@ -98,7 +105,7 @@
     ++context_.stats.prefills_wasted;
   }
   DropAllLegs(request);
-  requests_.erase(it);
+  Retire(request);
   Dispatch(now);
 }
 
@@ -239,6 +246,7 @@
   }
   switch (request.phase) {
     case StreamPhase::kWaiting:
+    case StreamPhase::kEnded:
       return;
     case StreamPhase::kReserving:
       CheckReserving(request, now);
--- a/unittests/entry/world_test.cc
+++ b/unittests/entry/world_test.cc
@@ -2,7 +2,10 @@
 
 #include "chervilwick/testbed/world.h"
 
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "test_worlds.h"
 
@@ -54,5 +57,44 @@
   CHECK(client.outcomes[0].run == RunState::kFailed);
 }
 
+// Overwrites freed memory, so that a use after free shows without sanitizers.
+class PerturbFreedMemory {
+ public:
+  PerturbFreedMemory() { mallopt(M_PERTURB, kPattern); }
+  ~PerturbFreedMemory() { mallopt(M_PERTURB, 0); }
+
+ private:
+  static constexpr int kPattern = 0xa5;
+};
+
+// Found by the address sanitizer: pieces that were held back ended the request
+// while the delivery of the piece before them still used it.
+TEST_CASE("a request that ends while it is delivered is not used after",
+          "[entry]") {
+  PerturbFreedMemory perturb;
+  for (uint64_t seed = 100; seed < 120; ++seed) {
+    World world(SmallWorld(seed));
+    AcceptSetup(world);
+    world.SetLoss(0.2, 0.2, seed % 2 == 0);
+    std::vector<uint64_t> numbers;
+    for (uint64_t it = 1; it <= 4; ++it) {
+      numbers.push_back(AskFor(world, it % 2, it, 150));
+    }
+    world.RunFor(absl::Seconds(20));
+    world.SetLoss(0, 0, false);
+    world.RunFor(absl::Seconds(30));
+    for (uint64_t it : numbers) {
+      const ClientRecord& client = world.clients().at(it);
+      REQUIRE(client.outcomes.size() == 1);
+      CHECK(client.tokens == ExpectedAnswer(client.prompt));
+    }
+    uint64_t whole = 0;
+    for (size_t it = 0; it < 2; ++it) {
+      whole += world.entry(it)->stats().whole_answers;
+    }
+    CHECK(whole == numbers.size());
+  }
+}
+
 }  // namespace
 }  // namespace chervilwick
