--- a/lib/testbed/world_faults.cc
+++ b/lib/testbed/world_faults.cc
@@ -2,6 +2,8 @@
 
 #include "chervilwick/testbed/world.h"
 
+#include <algorithm>
+
 namespace chervilwick {
 
 void World::Disconnect(const NodeName& name) {
@@ -53,11 +55,15 @@
 }
 
 void World::PauseEntry(size_t index, absl::Duration duration) {
-  entries_[index].paused_until = now() + duration;
+  // What waits for the end of a pause is not called sooner: a shorter pause
+  // inside a longer one changes nothing.
+  absl::Time& until = entries_[index].paused_until;
+  until = std::max(until, now() + duration);
 }
 
 void World::PauseAgent(size_t index, absl::Duration duration) {
-  agents_[index].paused_until = now() + duration;
+  absl::Time& until = agents_[index].paused_until;
+  until = std::max(until, now() + duration);
 }
 
 void World::SilenceLink(size_t entry, size_t agent) {
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,6 +7,7 @@
 minutes=1
 seed=1
 size=60
+shrink_seconds=60  # a case may take minutes to shrink
 while [ $# -gt 0 ]; do
   case "$1" in
     --minutes) minutes=$2; shift 2 ;;
@@ -26,11 +27,14 @@
   local lane=$1 step=$2 current runs=0 params
   current=$((seed + lane))
   while [ "$(date +%s)" -lt "$end" ]; do
-    params="seed=$current max_success=100 max_size=$size"
+    params="seed=$current max_success=100 max_size=$size noshrink=1"
     if ! RC_PARAMS="$params" "$program" >"$out/$current.log" 2>&1; then
       echo "fuzz: seed $current failed; repeat with:"
       echo "  RC_PARAMS=\"$params\" $program"
-      tail -20 "$out/$current.log"
+      tail -40 "$out/$current.log"
+      echo "fuzz: shrinking for at most $shrink_seconds s"
+      RC_PARAMS="${params% noshrink=1}" timeout "$shrink_seconds" "$program" |
+        tail -40 || true
       return 1
     fi
     grep -h '^fuzz: ' "$out/$current.log" >>"$out/steps.$lane" || true
