Fill engines by expected use, and place by failure rate

Cause: reserved use was 4,100 tokens a stream at 0.95 of the memory while the mean use is about 3,500; engines that lose answers kept their share of work. Change: expected use may reach 1.05 of the memory, late streams 0.85; a fading failure rate of each backend server adds to its load.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -46,6 +46,13 @@
   // Discovery's word of its removal is not believed until then.
   std::optional<absl::Time> lapses_at;
 
+  // Moving share of requests that broke off, timed out or failed there, as of
+  // `failure_rate_at`; it fades, so that the server is tried again.
+  double failure_rate = 0;
+  absl::Time failure_rate_at = absl::InfinitePast();
+
+  double FailureRate(absl::Time now) const;
+  void NoteOutcome(bool failed, absl::Time now);
   BackendUse Total() const;
 };
 
@@ -71,6 +78,11 @@
 
   // A request broke off or got no answer there. Distrust doubles each time.
   void ReportFailure(const BackendName& id, absl::Time now);
+  // The server answered with a failure of its own.
+  void ReportError(const BackendName& id, absl::Time now);
+  // Bytes of a request that goes on came from it.
+  void ReportAlive(const BackendName& id, absl::Time now);
+  // A request ended well there.
   void ReportSuccess(const BackendName& id, absl::Time now);
   void ReportFull(const BackendName& id, absl::Time now);
 
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -64,11 +64,12 @@
 // Weights and limits; the defaults answer the load of today's engines, which
 // read 33 tokens a millisecond and hold ten streams in memory.
 struct StreamSchedulerOptions {
-  // Part of an engine's memory that expected use may fill.
-  double memory_fill = 0.95;
+  // Part of an engine's memory that expected use may fill. Above one, since
+  // streams reach their expected use at different times.
+  double memory_fill = 1.05;
   // The same for streams whose objective can't be met any more: they leave
   // room for those that still can.
-  double late_memory_fill = 0.75;
+  double late_memory_fill = 0.85;
   // Prompt work that may wait at one engine; the rest waits here, where it can
   // still be reordered and refused.
   absl::Duration max_prompt_backlog = absl::Milliseconds(250);
@@ -76,6 +77,9 @@
   double prompt_tokens_per_ms = 33;
   absl::Duration first_event_overhead = absl::Milliseconds(60);
   absl::Duration stream_duration = absl::Seconds(3);
+  // Load that a failure rate of one is worth, and the same as prompt work.
+  double failure_load = 1.5;
+  absl::Duration failure_backlog = absl::Milliseconds(600);
   // Share of the load that a place in another availability zone is worth.
   double other_zone_load = 0.1;
   absl::Duration max_retry_after = absl::Seconds(4);
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -3,6 +3,7 @@
 #include "chervilwick/dispatch/backend_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilwick {
 namespace {
@@ -12,6 +13,10 @@
 // First time of avoidance; it doubles with each further failure.
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(400);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(4);
+// Weight of one outcome in the failure rate.
+constexpr double kFailureWeight = 0.2;
+// A failure rate halves in that time without outcomes.
+constexpr absl::Duration kFailureHalfLife = absl::Seconds(4);
 // A full engine frees a place about that often.
 constexpr absl::Duration kFullPause = absl::Milliseconds(60);
 
@@ -37,6 +42,18 @@
   return total;
 }
 
+double Backend::FailureRate(absl::Time now) const {
+  if (failure_rate == 0) return 0;
+  return failure_rate *
+         std::exp2(-absl::FDivDuration(now - failure_rate_at, kFailureHalfLife));
+}
+
+void Backend::NoteOutcome(bool failed, absl::Time now) {
+  double rate = FailureRate(now);
+  failure_rate = rate + kFailureWeight * ((failed ? 1 : 0) - rate);
+  failure_rate_at = now;
+}
+
 BackendChange BackendTable::Upsert(const BackendRecord& record) {
   auto [it, is_new] = backends_.try_emplace(record.id);
   Backend& backend = it->second;
@@ -114,6 +131,7 @@
 void BackendTable::ReportFailure(const BackendName& id, absl::Time now) {
   Backend* backend = Find(id);
   if (backend == nullptr) return;
+  backend->NoteOutcome(/*failed=*/true, now);
   ++backend->failures_in_a_row;
   int excess = backend->failures_in_a_row - kFailuresTolerated;
   if (excess <= 0) return;
@@ -124,7 +142,12 @@
   backend->suspect_until = now + std::min(avoidance, kLongestAvoidance);
 }
 
-void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
+void BackendTable::ReportError(const BackendName& id, absl::Time now) {
+  Backend* backend = Find(id);
+  if (backend != nullptr) backend->NoteOutcome(/*failed=*/true, now);
+}
+
+void BackendTable::ReportAlive(const BackendName& id, absl::Time now) {
   Backend* backend = Find(id);
   if (backend == nullptr) return;
   backend->failures_in_a_row = 0;
@@ -132,6 +155,13 @@
   backend->last_heard = now;
 }
 
+void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
+  Backend* backend = Find(id);
+  if (backend == nullptr) return;
+  backend->NoteOutcome(/*failed=*/false, now);
+  ReportAlive(id, now);
+}
+
 void BackendTable::ReportFull(const BackendName& id, absl::Time now) {
   Backend* backend = Find(id);
   if (backend != nullptr) backend->full_until = now + kFullPause;
--- a/lib/dispatch/call_balancer.cc
+++ b/lib/dispatch/call_balancer.cc
@@ -11,6 +11,8 @@
 constexpr double kOtherZoneLoad = 0.25;
 // Load that being full a moment ago adds.
 constexpr double kFullLoad = 2.0;
+// Load that a failure rate of one is worth.
+constexpr double kFailureLoad = 3.0;
 constexpr double kUsualPercent = 100.0;
 
 }  // namespace
@@ -26,6 +28,7 @@
     double load = ahead / it->record.slots * it->time_percent / kUsualPercent;
     if (it->record.zone != zone) load += kOtherZoneLoad;
     if (it->full_until > now) load += kFullLoad;
+    load += it->FailureRate(now) * kFailureLoad;
     if (load >= least) continue;
     least = load;
     best = it;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -234,6 +234,7 @@
     if (filled > fill && use.requests > 0) continue;
     double load = filled * it->time_percent / 100;
     if (it->record.zone != zone_) load += options_.other_zone_load;
+    load += it->FailureRate(now) * options_.failure_load;
     if (load >= least) continue;
     least = load;
     best = it;
@@ -254,6 +255,7 @@
     absl::Duration backlog =
         PromptTime(it->Total().prompt_tokens) * it->time_percent / 100;
     if (backlog > options_.max_prompt_backlog) continue;
+    backlog += it->FailureRate(now) * options_.failure_backlog;
     // Transfers between zones take twice as long and cost more.
     if (it->record.zone != near) {
       backlog += PromptTime(job.prompt_tokens) * options_.other_zone_load;
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -178,7 +178,11 @@
     OnNotRun(attempt.backend, status);
     return;
   }
-  context_.backends.ReportSuccess(attempt.backend, Now());
+  if (status >= kFirstFailure) {
+    context_.backends.ReportError(attempt.backend, Now());
+  } else {
+    context_.backends.ReportSuccess(attempt.backend, Now());
+  }
   if (IsSuccess(status) && !facts.is_engines_own) {
     Log("unproven_answer", attempt.backend.value(), "no receipt");
     SendAgainOrEnd(MayRunAgain(), {502, "unproven_answer"});
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -297,7 +297,7 @@
 void StreamRelay::OnDecodeBytes(absl::string_view bytes) {
   silence_.Arm(kSilenceNoted);
   silent_once_ = false;
-  context_.backends.ReportSuccess(placement_->decode, Now());
+  context_.backends.ReportAlive(placement_->decode, Now());
   AnswerFacts facts = context_.protocol.ReadAnswer(head_);
   if (!IsSuccess(head_.status) || !facts.is_engines_own) {
     absl::StrAppend(&body_, bytes);
@@ -334,6 +334,7 @@
   context_.server->SendStream(admitted_.id, events_.TakeRest());
   context_.server->EndStream(admitted_.id);
   context_.scheduler.ObserveStream(Now() - step_started_);
+  context_.backends.ReportSuccess(placement_->decode, Now());
   Finish("answered", head_.status, placement_->decode.value());
 }
 
