Change surplus prefill engines to decoding, under a lease with a fence

Change: one front at a time holds duty/stages under a store lease and orders engines from prefill to decode by what a stream takes of each; decoding engines read a prompt themselves, one at a time, when the prefill engines are behind.

--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -128,6 +128,7 @@
   Backend* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
   Backend* ChoosePrefill(const StreamJob& job, const ZoneName& near,
                          absl::Time now);
+  static bool CanReadItself(const Backend& decode);
   absl::Duration PromptTime(int64_t tokens) const;
   absl::Duration ServiceTime(const StreamJob& job) const;
   // Places that free up in a second, over all engines of a service.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -12,6 +12,7 @@
 #include "chervilwick/front/front_context.h"
 #include "chervilwick/front/peer_link.h"
 #include "chervilwick/front/relay.h"
+#include "chervilwick/front/stage_keeper.h"
 #include "chervilwick/front/store_sync.h"
 #include "chervilwick/front/stream_relay.h"
 
@@ -64,6 +65,7 @@
   HttpServer metrics_;
   StoreSync store_;
   PeerLink peers_;
+  StageKeeper stages_;
   Timer scheduler_wake_;
   absl::BitGen random_;
   RouteTable table_;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -83,8 +83,12 @@
   std::string reason;
 };
 struct UnrelatedItem {};
+// Who gives orders to engines; nobody where the holder is empty.
+struct StageDutyHolder {
+  std::string holder;
+};
 using StoreFact = std::variant<UnrelatedItem, MalformedItem, BackendRecord,
-                               BackendRemoved, RouteTable>;
+                               BackendRemoved, RouteTable, StageDutyHolder>;
 
 // Part of the store that is read at start.
 enum class StoreSection { kConfiguration, kBackends };
@@ -118,6 +122,19 @@
   virtual std::optional<StorePage> ReadPage(absl::string_view body) const = 0;
   virtual std::optional<StorePage> ReadWatch(absl::string_view body) const = 0;
   virtual StoreFact ReadItem(const StoreItem& item) const = 0;
+
+  virtual HttpRequest GrantLease(absl::Duration lifetime) const = 0;
+  virtual std::optional<std::string> ReadLease(absl::string_view body)
+      const = 0;
+  virtual HttpRequest KeepLease(const std::string& lease) const = 0;
+  // Makes the key of the duty if nobody holds it.
+  virtual HttpRequest ClaimStageDuty(const std::string& holder,
+                                     const std::string& lease) const = 0;
+  virtual std::optional<uint64_t> ReadRevision(absl::string_view body)
+      const = 0;
+  virtual HttpRequest StageOrder(const BackendName& expected, EngineStage stage,
+                                 const std::string& holder,
+                                 uint64_t fence) const = 0;
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -26,6 +26,7 @@
     // Gone at once, or at `at` unless the entry comes back.
     std::function<void(const BackendName&, absl::Time at)> on_removed;
     std::function<void(bool reachable, absl::string_view why)> on_reachable;
+    std::function<void(const std::string& holder)> on_duty_holder;
   };
 
   StoreSync(FrontContext& context, Listener listener);
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -48,6 +48,7 @@
   void OnSilence();
   bool MayResume() const;
   void Release();
+  void ReleasePromptPlace();
   void FreeHandle();
   bool HasFreshHandle() const;
   absl::Time ClientPatienceEnd() const;
--- /dev/null
+++ b/lib/dispatch/stage_plan.cc
@@ -0,0 +1,53 @@
+// Which engines should read prompts and which should generate.
+
+#include "chervilwick/dispatch/stage_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <vector>
+
+namespace chervilwick {
+namespace {
+
+// Use of the engines that read prompts at which the others are full; the rest
+// absorbs arrivals that come together.
+constexpr double kPromptUse = 0.85;
+// Services with fewer engines keep the split that they have.
+constexpr size_t kMinEngines = 4;
+
+}  // namespace
+
+std::optional<StageChange> PlanStage(const BackendTable& backends,
+                                     const ServiceName& service,
+                                     const StageDemand& demand) {
+  std::vector<const Backend*> prefill;
+  size_t total = 0;
+  std::map<ZoneName, size_t> by_zone;
+  for (const auto& it : backends.all()) {
+    const BackendRecord& record = it.second.record;
+    if (record.service != service || record.draining) continue;
+    if (record.stage == EngineStage::kNone) continue;
+    ++total;
+    if (record.stage != EngineStage::kPrefill) continue;
+    prefill.push_back(&it.second);
+    ++by_zone[record.zone];
+  }
+  if (total < kMinEngines || prefill.empty()) return std::nullopt;
+  double prompt = absl::ToDoubleSeconds(demand.prompt_time) / kPromptUse;
+  double decode = absl::ToDoubleSeconds(demand.decode_time);
+  double share = prompt / (prompt + decode);
+  auto wanted = static_cast<size_t>(
+      std::max(1.0, std::ceil(share * static_cast<double>(total))));
+  if (prefill.size() <= wanted) return std::nullopt;
+  // From the zone that has most of them, so that each zone keeps some.
+  const Backend* best = nullptr;
+  for (const Backend* it : prefill) {
+    bool better = best == nullptr ||
+                  by_zone[it->record.zone] > by_zone[best->record.zone];
+    if (better) best = it;
+  }
+  return StageChange{best->record.id, EngineStage::kDecode};
+}
+
+}  // namespace chervilwick
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -200,6 +200,7 @@
   placement.waited = now - job.arrived;
   if (!job.has_prompt && decode->record.stage == EngineStage::kDecode) {
     Backend* prefill = ChoosePrefill(job, decode->record.zone, now);
+    if (prefill == nullptr && CanReadItself(*decode)) prefill = decode;
     if (prefill == nullptr) return std::nullopt;
     if (prefill->record.stage == EngineStage::kPrefill) {
       placement.prefill = prefill->record.id;
@@ -207,12 +208,20 @@
       prefill->own += {1, 0, placement.prompt_tokens};
       placement.prefill_estimate =
           PromptTime(prefill->Total().prompt_tokens);
+    } else {
+      placement.prompt_tokens = job.prompt_tokens;
+      decode->own += {0, 0, placement.prompt_tokens};
     }
   }
   decode->own += {1, placement.memory_tokens, 0};
   return placement;
 }
 
+// One prompt at a time: reading pauses the streams that the engine generates.
+bool StreamScheduler::CanReadItself(const Backend& decode) {
+  return decode.Total().prompt_tokens == 0;
+}
+
 Backend* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
                                        absl::Time now) {
   double fill = which == Class::kOnTime ? options_.memory_fill
@@ -270,10 +279,11 @@
 }
 
 void StreamScheduler::ReleasePrompt(const StreamPlacement& placement) {
-  if (!placement.prefill) return;
-  Backend* prefill = backends_.Find(*placement.prefill);
-  if (prefill == nullptr) return;
-  GiveBack(prefill->own, {1, 0, placement.prompt_tokens});
+  bool reads_itself = !placement.prefill.has_value();
+  Backend* reader = backends_.Find(reads_itself ? placement.decode
+                                                : *placement.prefill);
+  if (reader == nullptr) return;
+  GiveBack(reader->own, {reads_itself ? 0 : 1, 0, placement.prompt_tokens});
 }
 
 void StreamScheduler::ReleaseDecode(const StreamPlacement& placement) {
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -97,6 +97,13 @@
               },
               [this](bool reachable, absl::string_view why) {
                 OnReachable(reachable, why);
+              },
+              [this](const std::string& holder) {
+                if (holder.empty()) {
+                  stages_.OnHolder(std::nullopt);
+                } else {
+                  stages_.OnHolder(holder);
+                }
               }}),
       peers_(context_,
              {[this] {
@@ -114,6 +121,14 @@
               [this](const std::string& name) {
                 context_.backends.SetPeerUse(name, {});
               }}),
+      stages_(context_,
+              [this] {
+                std::set<ServiceName> services;
+                for (const auto& it : table_.services) {
+                  if (it.second.engine) services.insert(it.first);
+                }
+                return services;
+              }),
       scheduler_wake_(loop_, [this] { RunScheduler(); }) {
   context_.server = &clients_;
   context_.wake_scheduler = [this] {
@@ -425,6 +440,7 @@
         {{"backend", it.value()}, {"change", "gone after a store outage"}});
   }
   FetchPeerCopy();
+  if (IsReady() && store_.is_reachable()) stages_.Tick();
   context_.suspects.Prune(now);
   if (IsReady() != was_ready_) {
     was_ready_ = IsReady();
--- /dev/null
+++ b/lib/front/stage_keeper.cc
@@ -0,0 +1,200 @@
+// Orders that change what engines do.
+
+#include "chervilwick/front/stage_keeper.h"
+
+#include <ctime>
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr absl::Duration kLeaseTime = absl::Seconds(12);
+// The lease counts as over that much before it lapses.
+constexpr absl::Duration kLeaseMargin = absl::Seconds(5);
+constexpr absl::Duration kRenewAfter = absl::Seconds(3);
+// Orders of two holders must not meet; a lapsed or revoked key of another
+// holder may have been used until a moment ago.
+constexpr absl::Duration kSettleTime = absl::Milliseconds(3500);
+constexpr absl::Duration kCallTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration kRetryTime = absl::Seconds(4);
+// An order without an answer may be carried out that much later.
+constexpr absl::Duration kOrderPatience = absl::Seconds(15);
+constexpr int kOk = 200;
+
+// Counts the time for which the host is suspended; leases run on meanwhile.
+absl::Time BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
+}  // namespace
+
+StageKeeper::StageKeeper(FrontContext& context,
+                         std::function<std::set<ServiceName>()> services)
+    : context_(context),
+      services_(std::move(services)),
+      timeout_(context.loop, [this] { GiveUp("no answer from the store"); }) {}
+
+void StageKeeper::OnHolder(const std::optional<std::string>& holder) {
+  holder_ = holder;
+  if (state_ == State::kHolding && holder != context_.settings.name) {
+    GiveUp("the key is no longer held");
+  }
+}
+
+std::optional<StageChange> StageKeeper::NextChange() const {
+  for (const ServiceName& it : services_()) {
+    std::optional<StageChange> change =
+        PlanStage(context_.backends, it, StageDemand());
+    if (!change) continue;
+    auto ordered = ordered_.find(change->backend);
+    bool is_open = ordered != ordered_.end() &&
+                   BootTime() - ordered->second < kOrderPatience;
+    if (!is_open) return change;
+  }
+  return std::nullopt;
+}
+
+void StageKeeper::Tick() {
+  absl::Time now = BootTime();
+  if (state_ == State::kHolding) {
+    if (now >= lease_ends_) {
+      GiveUp("lease over");
+      return;
+    }
+    if (now - lease_sent_ > kRenewAfter && NextChange()) Renew();
+    if (now >= may_order_at_) OrderNext();
+    return;
+  }
+  if (state_ != State::kIdle || now < next_try_ || holder_) return;
+  if (!NextChange()) return;
+  Lease();
+}
+
+void StageKeeper::CallStore(
+    const HttpRequest& request,
+    std::function<void(int status, const std::string& body)> done) {
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  auto answer = std::make_shared<Answer>();
+  context_.client.Start(
+      *Endpoint::Parse(context_.settings.store), request, CallOptions(),
+      [this, answer, done = std::move(done)](CallEvent event) {
+        std::visit(Overloaded{
+                       [&](HttpHead& head) { answer->status = head.status; },
+                       [&](HttpBodyPart& part) {
+                         absl::StrAppend(&answer->body, part.bytes);
+                       },
+                       [&](HttpEnd&) {
+                         ++context_.stats
+                               .store_calls[absl::StrCat(answer->status)];
+                         done(answer->status, answer->body);
+                       },
+                       [&](CallFailure&) { done(0, ""); },
+                   },
+                   event);
+      });
+}
+
+void StageKeeper::Lease() {
+  state_ = State::kLeasing;
+  // Fronts that start together don't all ask.
+  next_try_ = BootTime() + kRetryTime * absl::Uniform(random_, 1.0, 2.0);
+  lease_sent_ = BootTime();
+  timeout_.Arm(kCallTimeout);
+  CallStore(context_.protocol.GrantLease(kLeaseTime),
+            [this](int status, const std::string& body) {
+              if (state_ != State::kLeasing) return;
+              std::optional<std::string> lease =
+                  context_.protocol.ReadLease(body);
+              if (status != kOk || !lease || holder_) {
+                GiveUp("no lease");
+                return;
+              }
+              Claim(*lease);
+            });
+}
+
+void StageKeeper::Claim(const std::string& lease) {
+  state_ = State::kClaiming;
+  lease_ = lease;
+  timeout_.Arm(kCallTimeout);
+  CallStore(
+      context_.protocol.ClaimStageDuty(context_.settings.name, lease),
+      [this](int status, const std::string& body) {
+        if (state_ != State::kClaiming) return;
+        std::optional<uint64_t> revision =
+            context_.protocol.ReadRevision(body);
+        if (status != kOk || !revision) {
+          GiveUp("another front holds the key");
+          return;
+        }
+        timeout_.Cancel();
+        state_ = State::kHolding;
+        fence_ = *revision;
+        lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
+        may_order_at_ = BootTime() + kSettleTime;
+        context_.log.Write(context_.loop.Now(), "stage_duty",
+                           {{"held", true}, {"fence", fence_}});
+      });
+}
+
+void StageKeeper::Renew() {
+  if (renewing_) return;
+  renewing_ = true;
+  absl::Time sent = BootTime();
+  CallStore(context_.protocol.KeepLease(lease_),
+            [this, sent](int status, const std::string& /*body*/) {
+              renewing_ = false;
+              if (state_ != State::kHolding) return;
+              if (status != kOk) {
+                GiveUp("lease not renewed");
+                return;
+              }
+              lease_sent_ = sent;
+              lease_ends_ = sent + kLeaseTime - kLeaseMargin;
+            });
+}
+
+void StageKeeper::OrderNext() {
+  std::optional<StageChange> change = NextChange();
+  if (!change) return;
+  const Backend* backend = context_.backends.Find(change->backend);
+  ordered_[change->backend] = BootTime();
+  BackendName id = change->backend;
+  context_.log.Write(context_.loop.Now(), "stage_order",
+                     {{"backend", id.value()}, {"fence", fence_}});
+  auto status = std::make_shared<int>(0);
+  context_.client.Start(
+      backend->record.endpoint,
+      context_.protocol.StageOrder(id, change->stage, context_.settings.name,
+                                   fence_),
+      CallOptions(), [this, status, id](CallEvent event) {
+        if (auto* head = std::get_if<HttpHead>(&event)) *status = head->status;
+        bool is_end = std::holds_alternative<HttpEnd>(event) ||
+                      std::holds_alternative<CallFailure>(event);
+        if (!is_end) return;
+        context_.log.Write(context_.loop.Now(), "stage_order_answered",
+                           {{"backend", id.value()}, {"status", *status}});
+      });
+}
+
+void StageKeeper::GiveUp(const char* why) {
+  timeout_.Cancel();
+  if (state_ == State::kHolding) {
+    context_.log.Write(context_.loop.Now(), "stage_duty",
+                       {{"held", false}, {"why", why}});
+  }
+  state_ = State::kIdle;
+  renewing_ = false;
+  next_try_ = std::max(next_try_, BootTime() + kRetryTime);
+}
+
+}  // namespace chervilwick
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -222,6 +222,7 @@
             items_.erase(item.key);
             ApplyRemoval(it.id);
           },
+          [&](StageDutyHolder& it) { listener_.on_duty_holder(it.holder); },
           [&](RouteTable& it) {
             if (it.version.value() <= version_) return;
             version_ = it.version.value();
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -126,7 +126,7 @@
 
 void StreamRelay::OnPlaced(const StreamPlacement& placement) {
   placement_ = placement;
-  holds_prompt_place_ = placement.prefill.has_value();
+  holds_prompt_place_ = placement.prompt_tokens > 0;
   holds_decode_place_ = true;
   context_.stats.queue_time[admitted_.route.name].Add(placement.waited);
   const Backend* decode = context_.backends.Find(placement.decode);
@@ -188,8 +188,7 @@
     OnPrefillFailed("engine refused", facts.is_not_run);
     return;
   }
-  context_.scheduler.ReleasePrompt(*placement_);
-  holds_prompt_place_ = false;
+  ReleasePromptPlace();
   const Backend* backend = context_.backends.Find(*placement_->prefill);
   context_.backends.ReportSuccess(*placement_->prefill, Now());
   context_.stats.prompt_time.Add(Now() - step_started_);
@@ -218,8 +217,7 @@
     context_.backends.ReportFailure(prefill, Now());
     excluded_.insert(prefill);
   }
-  context_.scheduler.ReleasePrompt(*placement_);
-  holds_prompt_place_ = false;
+  ReleasePromptPlace();
   // The decoding engine can read the prompt itself, which repeats nothing.
   if (prefills_ >= kMaxPrefills || !TakeRepeat()) {
     reads_at_decode_ = true;
@@ -285,6 +283,7 @@
   }
   head_ = std::move(head);
   if (!IsSuccess(head_.status) || !facts.is_engines_own) return;
+  ReleasePromptPlace();
   handle_.reset();
   if (is_streaming_) return;  // resumed: the first engine's head stands
   is_streaming_ = true;
@@ -416,9 +415,14 @@
   OnDecodeBroken({CallError::kConnect, true});
 }
 
+void StreamRelay::ReleasePromptPlace() {
+  if (holds_prompt_place_) context_.scheduler.ReleasePrompt(*placement_);
+  holds_prompt_place_ = false;
+}
+
 void StreamRelay::Release() {
   if (!placement_) return;
-  if (holds_prompt_place_) context_.scheduler.ReleasePrompt(*placement_);
+  ReleasePromptPlace();
   if (holds_decode_place_) context_.scheduler.ReleaseDecode(*placement_);
   holds_prompt_place_ = false;
   holds_decode_place_ = false;
