--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -72,7 +72,7 @@
   double late_memory_fill = 0.85;
   // Prompt work that may wait at one engine; the rest waits here, where it can
   // still be reordered and refused.
-  absl::Duration max_prompt_backlog = absl::Milliseconds(250);
+  absl::Duration max_prompt_backlog = absl::Milliseconds(350);
   // First guesses, replaced by what is observed.
   double prompt_tokens_per_ms = 33;
   absl::Duration first_event_overhead = absl::Milliseconds(60);
@@ -128,7 +128,6 @@
   Backend* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
   Backend* ChoosePrefill(const StreamJob& job, const ZoneName& near,
                          absl::Time now);
-  static bool CanReadItself(const Backend& decode);
   absl::Duration PromptTime(int64_t tokens) const;
   absl::Duration ServiceTime(const StreamJob& job) const;
   // Places that free up in a second, over all engines of a service.
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -200,7 +200,6 @@
   placement.waited = now - job.arrived;
   if (!job.has_prompt && decode->record.stage == EngineStage::kDecode) {
     Backend* prefill = ChoosePrefill(job, decode->record.zone, now);
-    if (prefill == nullptr && CanReadItself(*decode)) prefill = decode;
     if (prefill == nullptr) return std::nullopt;
     if (prefill->record.stage == EngineStage::kPrefill) {
       placement.prefill = prefill->record.id;
@@ -217,11 +216,6 @@
   return placement;
 }
 
-// One prompt at a time: reading pauses the streams that the engine generates.
-bool StreamScheduler::CanReadItself(const Backend& decode) {
-  return decode.Total().prompt_tokens == 0;
-}
-
 Backend* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
                                        absl::Time now) {
   double fill = which == Class::kOnTime ? options_.memory_fill
