Pay for each repeated send when it is sent

A resumed stream makes a second prompt call and a second decode call but paid once; a restarted front had a full allowance again, and a front that heard no peer for 12 s took the whole slack. Ruled out: uncounted hedges (each pays) and refused connections (no arrival). Change: the second and later prompt and decode calls pay when they start; half of the slack in the first window after a start; the size of the fleet is remembered for a minute.

--- a/include/chervilwick/dispatch/backend_record.h
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -31,9 +31,8 @@
 
   friend bool operator==(const BackendRecord& a, const BackendRecord& b) {
     return a.id == b.id && a.service == b.service && a.endpoint == b.endpoint &&
-           a.zone == b.zone && a.draining == b.draining &&
-           a.stage == b.stage && a.slots == b.slots &&
-           a.born_unix_ms == b.born_unix_ms;
+           a.zone == b.zone && a.draining == b.draining && a.stage == b.stage &&
+           a.slots == b.slots && a.born_unix_ms == b.born_unix_ms;
   }
 };
 
--- a/include/chervilwick/dispatch/retry_quota.h
+++ b/include/chervilwick/dispatch/retry_quota.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "absl/time/time.h"
 #include "chervilwick/dispatch/route_table.h"
@@ -42,10 +43,12 @@
     std::deque<absl::Time> repeats;
   };
 
+  double Slack(absl::Time now);
   void Prune(Counts& counts, absl::Time now) const;
 
   RetryBounds bounds_;
   uint32_t fronts_ = 1;
+  std::optional<absl::Time> started_;
   std::map<ServiceName, Counts> counts_;
 };
 
--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -8,9 +8,9 @@
 #include <map>
 #include <optional>
 #include <string>
-#include "absl/strings/string_view.h"
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "chervilwick/support/ids.h"
 #include "chervilwick/support/strong_type.h"
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -49,7 +49,8 @@
 enum class StreamRefusalReason {
   kQueueTooLong,  // it could not be served within the client's patience
   kWaitedTooLong,
-  kNoEngines,
+  kNoEngines,  // those tried refused it
+  kNoBudget,   // it would take a repeated send beyond the budget
 };
 
 struct StreamRefusal {
--- a/include/chervilwick/front/event_splitter.h
+++ b/include/chervilwick/front/event_splitter.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+
 #include "absl/strings/string_view.h"
 
 namespace chervilwick {
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -7,10 +7,10 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include "absl/strings/string_view.h"
 #include <variant>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "chervilwick/dispatch/backend_record.h"
 #include "chervilwick/dispatch/route_table.h"
@@ -57,8 +57,8 @@
   absl::Duration remaining;
   bool prefill_only = false;
   std::optional<KvSource> kv_source;
-  std::optional<std::string> hold;        // reserved place
-  std::optional<uint64_t> resume_after;   // id of the last event delivered
+  std::optional<std::string> hold;       // reserved place
+  std::optional<uint64_t> resume_after;  // id of the last event delivered
 };
 
 // Item of the store as it was written, or its removal.
@@ -112,7 +112,8 @@
   virtual std::optional<std::string> ReadHold(absl::string_view body) const = 0;
   virtual HttpRequest DropHold(const std::string& hold) const = 0;
   // Handle of a prompt that has been read, from the answer's body.
-  virtual std::optional<std::string> ReadHandle(absl::string_view body) const = 0;
+  virtual std::optional<std::string> ReadHandle(
+      absl::string_view body) const = 0;
   virtual HttpRequest FreeHandle(const std::string& handle) const = 0;
 
   virtual HttpRequest ReadStore(StoreSection section,
@@ -124,14 +125,14 @@
   virtual StoreFact ReadItem(const StoreItem& item) const = 0;
 
   virtual HttpRequest GrantLease(absl::Duration lifetime) const = 0;
-  virtual std::optional<std::string> ReadLease(absl::string_view body)
-      const = 0;
+  virtual std::optional<std::string> ReadLease(
+      absl::string_view body) const = 0;
   virtual HttpRequest KeepLease(const std::string& lease) const = 0;
   // Makes the key of the duty if nobody holds it.
   virtual HttpRequest ClaimStageDuty(const std::string& holder,
                                      const std::string& lease) const = 0;
-  virtual std::optional<uint64_t> ReadRevision(absl::string_view body)
-      const = 0;
+  virtual std::optional<uint64_t> ReadRevision(
+      absl::string_view body) const = 0;
   virtual HttpRequest StageOrder(const BackendName& expected, EngineStage stage,
                                  const std::string& holder,
                                  uint64_t fence) const = 0;
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -5,8 +5,8 @@
 
 #include <memory>
 #include <string>
-#include "absl/strings/string_view.h"
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "chervilwick/front/front_context.h"
 #include "chervilwick/net/http_server.h"
--- a/include/chervilwick/net/http_client.h
+++ b/include/chervilwick/net/http_client.h
@@ -8,10 +8,10 @@
 #include <map>
 #include <memory>
 #include <string>
-#include "absl/strings/string_view.h"
 #include <variant>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "chervilwick/net/event_loop.h"
 #include "chervilwick/net/http_message.h"
--- a/include/chervilwick/net/http_message.h
+++ b/include/chervilwick/net/http_message.h
@@ -8,10 +8,11 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include "absl/strings/string_view.h"
 #include <variant>
 #include <vector>
 
+#include "absl/strings/string_view.h"
+
 struct http_parser;
 
 namespace chervilwick {
@@ -27,7 +28,7 @@
   std::string target;  // requests only
   int status = 0;      // responses only
   std::vector<HttpField> fields;
-  bool keep_alive = true;  // the sender leaves the connection open
+  bool keep_alive = true;             // the sender leaves the connection open
   bool ends_with_connection = false;  // responses without a length
 
   // First field of that name in any case; null where there is none.
@@ -56,9 +57,9 @@
 // Why the bytes are not a message.
 enum class HttpReadError {
   kNone,
-  kMalformed,        // includes ambiguous lengths and folded lines
+  kMalformed,  // includes ambiguous lengths and folded lines
   kHeadTooLarge,
-  kTruncated,        // the connection ended inside the message
+  kTruncated,  // the connection ended inside the message
 };
 
 // Reads one message after the other from a connection's bytes. The head is
--- a/include/chervilwick/telemetry/decision_log.h
+++ b/include/chervilwick/telemetry/decision_log.h
@@ -7,9 +7,9 @@
 #include <cstdint>
 #include <initializer_list>
 #include <string>
-#include "absl/strings/string_view.h"
 #include <variant>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 namespace chervilwick {
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -44,8 +44,8 @@
 
 double Backend::FailureRate(absl::Time now) const {
   if (failure_rate == 0) return 0;
-  return failure_rate *
-         std::exp2(-absl::FDivDuration(now - failure_rate_at, kFailureHalfLife));
+  return failure_rate * std::exp2(-absl::FDivDuration(now - failure_rate_at,
+                                                      kFailureHalfLife));
 }
 
 void Backend::NoteOutcome(bool failed, absl::Time now) {
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -52,8 +52,8 @@
 
 void CrashSuspects::Prune(absl::Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
-    it = now - it->second.last > kRetention ? entries_.erase(it)
-                                            : std::next(it);
+    it =
+        now - it->second.last > kRetention ? entries_.erase(it) : std::next(it);
   }
 }
 
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -97,8 +97,8 @@
 StreamRefusal StreamScheduler::Refuse(const StreamJob& job,
                                       StreamRefusalReason reason,
                                       absl::Duration wait) const {
-  absl::Duration base = std::clamp(wait, kMinRetryAfter,
-                                   options_.max_retry_after);
+  absl::Duration base =
+      std::clamp(wait, kMinRetryAfter, options_.max_retry_after);
   // Streams that were refused together must not come back together.
   double spread = static_cast<double>(job.id.value() % 16) / 16;
   return {job.id, reason, base * (1 + kRetrySpread * spread)};
@@ -110,8 +110,8 @@
       memory_per_stream_ == 0
           ? static_cast<double>(MemoryNeed(job))
           : memory_per_stream_ +
-                kLearningRate * (static_cast<double>(MemoryNeed(job)) -
-                                 memory_per_stream_);
+                kLearningRate *
+                    (static_cast<double>(MemoryNeed(job)) - memory_per_stream_);
   bool has_room = on_time_.empty() && HasRoom(job, now);
   size_t ahead = has_room ? 0 : on_time_.size() + peers_waiting_ + 1;
   absl::Duration wait = ExpectedWait(job, ahead, now);
@@ -124,8 +124,7 @@
     on_time_.insert(it, std::move(job));
     return std::nullopt;
   }
-  absl::Duration late_wait =
-      ExpectedWait(job, ahead + late_.size(), now);
+  absl::Duration late_wait = ExpectedWait(job, ahead + late_.size(), now);
   if (now + late_wait + ServiceTime(job) > job.give_up_at) {
     return Refuse(job, StreamRefusalReason::kQueueTooLong, late_wait);
   }
@@ -135,10 +134,10 @@
 
 void StreamScheduler::Withdraw(ExchangeId id) {
   auto remove = [&](std::deque<StreamJob>& queue) {
-    queue.erase(std::remove_if(
-                    queue.begin(), queue.end(),
-                    [&](const StreamJob& it) { return it.id == id; }),
-                queue.end());
+    queue.erase(
+        std::remove_if(queue.begin(), queue.end(),
+                       [&](const StreamJob& it) { return it.id == id; }),
+        queue.end());
   };
   remove(on_time_);
   remove(late_);
@@ -181,8 +180,7 @@
       ++it;
       continue;
     }
-    absl::Duration wait =
-        ExpectedWait(*it, waiting() + peers_waiting_, now);
+    absl::Duration wait = ExpectedWait(*it, waiting() + peers_waiting_, now);
     out.push_back(Refuse(*it, StreamRefusalReason::kWaitedTooLong, wait));
     it = late_.erase(it);
   }
@@ -205,8 +203,7 @@
       placement.prefill = prefill->record.id;
       placement.prompt_tokens = job.prompt_tokens;
       prefill->own += {1, 0, placement.prompt_tokens};
-      placement.prefill_estimate =
-          PromptTime(prefill->Total().prompt_tokens);
+      placement.prefill_estimate = PromptTime(prefill->Total().prompt_tokens);
     } else {
       placement.prompt_tokens = job.prompt_tokens;
       decode->own += {0, 0, placement.prompt_tokens};
@@ -274,8 +271,8 @@
 
 void StreamScheduler::ReleasePrompt(const StreamPlacement& placement) {
   bool reads_itself = !placement.prefill.has_value();
-  Backend* reader = backends_.Find(reads_itself ? placement.decode
-                                                : *placement.prefill);
+  Backend* reader =
+      backends_.Find(reads_itself ? placement.decode : *placement.prefill);
   if (reader == nullptr) return;
   GiveBack(reader->own, {reads_itself ? 0 : 1, 0, placement.prompt_tokens});
 }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -62,15 +62,14 @@
     : settings_file_(std::move(settings_file)),
       settings_text_(ReadText(settings_file_)),
       context_(loop_, protocol, settings),
-      clients_(loop_,
-               {[this](ExchangeId id, const Endpoint& client,
-                       HttpRequest request) {
-                  OnRequest(id, client, std::move(request));
-                },
-                [this](ExchangeId id) {
-                  auto it = relays_.find(id);
-                  if (it != relays_.end()) it->second->OnClientGone();
-                }}),
+      clients_(loop_, {[this](ExchangeId id, const Endpoint& client,
+                              HttpRequest request) {
+                         OnRequest(id, client, std::move(request));
+                       },
+                       [this](ExchangeId id) {
+                         auto it = relays_.find(id);
+                         if (it != relays_.end()) it->second->OnClientGone();
+                       }}),
       ready_(loop_, {[this](ExchangeId id, const Endpoint&,
                             const HttpRequest& request) {
                        bool is_probe = request.head.target ==
@@ -89,38 +88,36 @@
                          OnControlRequest(metrics_, id, request);
                        },
                        [](ExchangeId) {}}),
-      store_(context_,
-             {[this](const RouteTable& it) { OnTable(it); },
-              [this](const BackendRecord& it) { OnBackend(it); },
-              [this](const BackendName& it, absl::Time at) {
-                OnRemoved(it, at);
-              },
-              [this](bool reachable, absl::string_view why) {
-                OnReachable(reachable, why);
-              },
-              [this](const std::string& holder) {
-                if (holder.empty()) {
-                  stages_.OnHolder(std::nullopt);
-                } else {
-                  stages_.OnHolder(holder);
-                }
-              }}),
-      peers_(context_,
-             {[this] {
-                PeerDigest digest;
-                digest.sender = context_.settings.name;
-                digest.store_revision = store_.revision();
-                digest.waiting_streams = context_.scheduler.waiting();
-                digest.use = context_.backends.OwnUse();
-                digest.crashes = context_.suspects.Notable();
-                return digest;
-              },
-              [this](const PeerDigest& it, const Endpoint& from) {
-                OnDigest(it, from);
-              },
-              [this](const std::string& name) {
-                context_.backends.SetPeerUse(name, {});
-              }}),
+      store_(context_, {[this](const RouteTable& it) { OnTable(it); },
+                        [this](const BackendRecord& it) { OnBackend(it); },
+                        [this](const BackendName& it, absl::Time at) {
+                          OnRemoved(it, at);
+                        },
+                        [this](bool reachable, absl::string_view why) {
+                          OnReachable(reachable, why);
+                        },
+                        [this](const std::string& holder) {
+                          if (holder.empty()) {
+                            stages_.OnHolder(std::nullopt);
+                          } else {
+                            stages_.OnHolder(holder);
+                          }
+                        }}),
+      peers_(context_, {[this] {
+                          PeerDigest digest;
+                          digest.sender = context_.settings.name;
+                          digest.store_revision = store_.revision();
+                          digest.waiting_streams = context_.scheduler.waiting();
+                          digest.use = context_.backends.OwnUse();
+                          digest.crashes = context_.suspects.Notable();
+                          return digest;
+                        },
+                        [this](const PeerDigest& it, const Endpoint& from) {
+                          OnDigest(it, from);
+                        },
+                        [this](const std::string& name) {
+                          context_.backends.SetPeerUse(name, {});
+                        }}),
       stages_(context_,
               [this] {
                 std::set<ServiceName> services;
@@ -150,10 +147,10 @@
     HttpServer& server;
     const std::string& text;
   };
-  for (const Address& it : {Address{clients_, settings.clients},
-                            Address{ready_, settings.ready},
-                            Address{control_, settings.control},
-                            Address{metrics_, settings.metrics}}) {
+  for (const Address& it :
+       {Address{clients_, settings.clients}, Address{ready_, settings.ready},
+        Address{control_, settings.control},
+        Address{metrics_, settings.metrics}}) {
     if (!it.server.Listen(*Endpoint::Parse(it.text))) {
       return absl::StrCat(it.text, ": ", std::strerror(errno));
     }
@@ -236,8 +233,7 @@
   }
   admitted.route = *route;
   admitted.version = table_.version;
-  admitted.service =
-      PickService(*route, absl::Uniform<uint64_t>(random_));
+  admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
   if (HasFingerprint(request)) {
     admitted.fingerprint = FingerprintOf(request, client);
     if (context_.suspects.IsQuarantined(admitted.fingerprint)) {
@@ -262,14 +258,14 @@
   };
   Relay* started = nullptr;
   if (admitted.route.kind == RouteKind::kStream) {
-    auto relay = std::make_unique<StreamRelay>(context_, std::move(admitted),
-                                               finished);
+    auto relay =
+        std::make_unique<StreamRelay>(context_, std::move(admitted), finished);
     streams_[id] = relay.get();
     started = relay.get();
     relays_[id] = std::move(relay);
   } else {
-    auto relay = std::make_unique<PlainRelay>(context_, std::move(admitted),
-                                              finished);
+    auto relay =
+        std::make_unique<PlainRelay>(context_, std::move(admitted), finished);
     started = relay.get();
     relays_[id] = std::move(relay);
   }
@@ -306,10 +302,9 @@
   table_ = table;
   context_.scheduler.SetEngineTraits(table_.services);
   ApplyLimits();
-  context_.log.Write(
-      loop_.Now(), "version_in_force",
-      {{"version", table_.version.value()},
-       {"routes", static_cast<uint64_t>(table_.routes.size())}});
+  context_.log.Write(loop_.Now(), "version_in_force",
+                     {{"version", table_.version.value()},
+                      {"routes", static_cast<uint64_t>(table_.routes.size())}});
   std::vector<ExchangeId> ids;
   for (const auto& it : relays_) ids.push_back(it.first);
   for (ExchangeId id : ids) {
@@ -405,30 +400,29 @@
   peer_copy_call_ = context_.client.Start(
       peers_.ControlOf(*newest_peer_), request, CallOptions(),
       [this](CallEvent event) {
-        std::visit(
-            Overloaded{
-                [](HttpHead&) {},
-                [this](HttpBodyPart& part) {
-                  if (peer_copy_.size() < kMaxCopyBytes) {
-                    absl::StrAppend(&peer_copy_, part.bytes);
-                  }
-                },
-                [this](HttpEnd&) {
-                  peer_copy_call_ = CallId();
-                  bool taken = store_.TakeSnapshot(peer_copy_);
-                  context_.log.Write(loop_.Now(), "peer_copy",
-                                     {{"taken", taken},
-                                      {"revision", store_.revision()}});
-                  peer_revision_ = 0;
-                  newest_peer_.reset();
-                },
-                [this](CallFailure&) {
-                  peer_copy_call_ = CallId();
-                  peer_revision_ = 0;
-                  newest_peer_.reset();
-                },
-            },
-            event);
+        std::visit(Overloaded{
+                       [](HttpHead&) {},
+                       [this](HttpBodyPart& part) {
+                         if (peer_copy_.size() < kMaxCopyBytes) {
+                           absl::StrAppend(&peer_copy_, part.bytes);
+                         }
+                       },
+                       [this](HttpEnd&) {
+                         peer_copy_call_ = CallId();
+                         bool taken = store_.TakeSnapshot(peer_copy_);
+                         context_.log.Write(loop_.Now(), "peer_copy",
+                                            {{"taken", taken},
+                                             {"revision", store_.revision()}});
+                         peer_revision_ = 0;
+                         newest_peer_.reset();
+                       },
+                       [this](CallFailure&) {
+                         peer_copy_call_ = CallId();
+                         peer_revision_ = 0;
+                         newest_peer_.reset();
+                       },
+                   },
+                   event);
       });
 }
 
@@ -465,8 +459,8 @@
   current.seeds = settings->seeds;
   current.store = settings->store;
   current.shutdown_limit = settings->shutdown_limit;
-  context_.quota.SetBounds({settings->retry_ratio, settings->retry_slack,
-                            settings->retry_window});
+  context_.quota.SetBounds(
+      {settings->retry_ratio, settings->retry_slack, settings->retry_window});
   peers_.SetSeeds(current.seeds);
   context_.log.Write(loop_.Now(), "reload",
                      {{"seeds", current.seeds}, {"store", current.store}});
@@ -477,9 +471,8 @@
   stopping_ = true;
   stop_began_ = loop_.Now();
   clients_.CloseAfterAnswers();
-  context_.log.Write(
-      stop_began_, "stopping",
-      {{"in_flight", static_cast<uint64_t>(relays_.size())}});
+  context_.log.Write(stop_began_, "stopping",
+                     {{"in_flight", static_cast<uint64_t>(relays_.size())}});
 }
 
 void FrontDaemon::CheckShutdown() {
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -32,9 +32,10 @@
     for (size_t it = 0; it <= LatencyCounts::kBuckets; ++it) {
       below += counts.counts[it];
       std::vector<MetricLabel> with_bound = labels;
-      with_bound.push_back({"le", it == LatencyCounts::kBuckets
-                                      ? std::string("+Inf")
-                                      : absl::StrCat(LatencyCounts::Bound(it))});
+      with_bound.push_back(
+          {"le", it == LatencyCounts::kBuckets
+                     ? std::string("+Inf")
+                     : absl::StrCat(LatencyCounts::Bound(it))});
       samples_.push_back({name + "_bucket", help, MetricType::kCounter,
                           static_cast<double>(below), with_bound});
     }
@@ -146,8 +147,7 @@
   if (target == kMetricsPath) {
     server.Respond(id, {200, {{"Content-Type", "text/plain"}}, Metrics()});
   } else if (target == kStatusPath) {
-    server.Respond(id,
-                   {200, {{"Content-Type", "application/json"}}, Status()});
+    server.Respond(id, {200, {{"Content-Type", "application/json"}}, Status()});
   } else if (target == kCopyPath && &server == &control_) {
     server.Respond(id, {200,
                         {{"Content-Type", "application/octet-stream"}},
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -25,7 +25,7 @@
 // A peer that was silent for so long has stopped or is cut off.
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(1600);
 // How long a larger number of fronts is remembered for budgets.
-constexpr absl::Duration kSizeMemory = absl::Seconds(12);
+constexpr absl::Duration kSizeMemory = absl::Seconds(60);
 constexpr size_t kMaxDatagram = 60000;
 constexpr size_t kMaxPeersNamed = 32;
 constexpr size_t kMaxHearsay = 64;
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -5,8 +5,8 @@
 #include <utility>
 #include <vector>
 
-#include "chervilwick/dispatch/call_balancer.h"
 #include "absl/strings/str_cat.h"
+#include "chervilwick/dispatch/call_balancer.h"
 #include "chervilwick/support/overloaded.h"
 
 namespace chervilwick {
@@ -96,21 +96,21 @@
   auto it = attempts_.find(number);
   if (it == attempts_.end()) return;
   Attempt& attempt = it->second;
-  std::visit(Overloaded{
-                 [&](HttpHead& head) { attempt.head = std::move(head); },
-                 [&](HttpBodyPart& part) {
-                   if (attempt.body.size() + part.bytes.size() >
-                       kMaxAnswerBytes) {
-                     context_.client.Cancel(attempt.call);
-                     OnFailure(number, {CallError::kMalformed, true});
-                     return;
-                   }
-                   absl::StrAppend(&attempt.body, part.bytes);
-                 },
-                 [&](HttpEnd&) { OnAnswer(number); },
-                 [&](CallFailure& failure) { OnFailure(number, failure); },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](HttpHead& head) { attempt.head = std::move(head); },
+          [&](HttpBodyPart& part) {
+            if (attempt.body.size() + part.bytes.size() > kMaxAnswerBytes) {
+              context_.client.Cancel(attempt.call);
+              OnFailure(number, {CallError::kMalformed, true});
+              return;
+            }
+            absl::StrAppend(&attempt.body, part.bytes);
+          },
+          [&](HttpEnd&) { OnAnswer(number); },
+          [&](CallFailure& failure) { OnFailure(number, failure); },
+      },
+      event);
 }
 
 PlainRelay::Attempt PlainRelay::Take(uint32_t number) {
@@ -211,7 +211,8 @@
   }
   Log("not_run", backend.value(),
       status == kMisdirected ? "another server has the address" : "full");
-  SendAgainOrEnd(/*costs_repeat=*/true, {503, "backends_full", kRetryAfterFull});
+  SendAgainOrEnd(/*costs_repeat=*/true,
+                 {503, "backends_full", kRetryAfterFull});
 }
 
 void PlainRelay::OnSlow() {
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -92,16 +92,15 @@
   timeout_.Cancel();
   context_.stats.CountOutcome(admitted_.route.name, std::string(outcome));
   context_.stats.answer_time[admitted_.route.name].Add(Elapsed());
-  context_.log.Write(
-      Now(), "request_done",
-      {{"id", admitted_.facts.request_id},
-       {"route", admitted_.route.name},
-       {"version", admitted_.version.value()},
-       {"outcome", outcome},
-       {"status", status},
-       {"reason", reason},
-       {"took_ms", Elapsed()},
-       {"left_ms", Remaining()}});
+  context_.log.Write(Now(), "request_done",
+                     {{"id", admitted_.facts.request_id},
+                      {"route", admitted_.route.name},
+                      {"version", admitted_.version.value()},
+                      {"outcome", outcome},
+                      {"status", status},
+                      {"reason", reason},
+                      {"took_ms", Elapsed()},
+                      {"left_ms", Remaining()}});
   finished_(admitted_.id);
 }
 
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -87,19 +87,19 @@
   context_.client.Start(
       *Endpoint::Parse(context_.settings.store), request, CallOptions(),
       [this, answer, done = std::move(done)](CallEvent event) {
-        std::visit(Overloaded{
-                       [&](HttpHead& head) { answer->status = head.status; },
-                       [&](HttpBodyPart& part) {
-                         absl::StrAppend(&answer->body, part.bytes);
-                       },
-                       [&](HttpEnd&) {
-                         ++context_.stats
-                               .store_calls[absl::StrCat(answer->status)];
-                         done(answer->status, answer->body);
-                       },
-                       [&](CallFailure&) { done(0, ""); },
-                   },
-                   event);
+        std::visit(
+            Overloaded{
+                [&](HttpHead& head) { answer->status = head.status; },
+                [&](HttpBodyPart& part) {
+                  absl::StrAppend(&answer->body, part.bytes);
+                },
+                [&](HttpEnd&) {
+                  ++context_.stats.store_calls[absl::StrCat(answer->status)];
+                  done(answer->status, answer->body);
+                },
+                [&](CallFailure&) { done(0, ""); },
+            },
+            event);
       });
 }
 
@@ -126,24 +126,23 @@
   state_ = State::kClaiming;
   lease_ = lease;
   timeout_.Arm(kCallTimeout);
-  CallStore(
-      context_.protocol.ClaimStageDuty(context_.settings.name, lease),
-      [this](int status, const std::string& body) {
-        if (state_ != State::kClaiming) return;
-        std::optional<uint64_t> revision =
-            context_.protocol.ReadRevision(body);
-        if (status != kOk || !revision) {
-          GiveUp("another front holds the key");
-          return;
-        }
-        timeout_.Cancel();
-        state_ = State::kHolding;
-        fence_ = *revision;
-        lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
-        may_order_at_ = BootTime() + kSettleTime;
-        context_.log.Write(context_.loop.Now(), "stage_duty",
-                           {{"held", true}, {"fence", fence_}});
-      });
+  CallStore(context_.protocol.ClaimStageDuty(context_.settings.name, lease),
+            [this](int status, const std::string& body) {
+              if (state_ != State::kClaiming) return;
+              std::optional<uint64_t> revision =
+                  context_.protocol.ReadRevision(body);
+              if (status != kOk || !revision) {
+                GiveUp("another front holds the key");
+                return;
+              }
+              timeout_.Cancel();
+              state_ = State::kHolding;
+              fence_ = *revision;
+              lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
+              may_order_at_ = BootTime() + kSettleTime;
+              context_.log.Write(context_.loop.Now(), "stage_duty",
+                                 {{"held", true}, {"fence", fence_}});
+            });
 }
 
 void StageKeeper::Renew() {
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -46,6 +46,8 @@
       return "waited_too_long";
     case StreamRefusalReason::kNoEngines:
       return "no_engines";
+    case StreamRefusalReason::kNoBudget:
+      return "retry_budget_used_up";
   }
   return "unknown";
 }
@@ -65,14 +67,13 @@
 void StreamRelay::Start() { Submit(); }
 
 absl::Time StreamRelay::ClientPatienceEnd() const {
-  absl::Duration patience =
-      std::max({kClientPatience,
-                admitted_.route.objective * kPatienceObjectives,
-                admitted_.route.pause_objective * kPatiencePauses});
-  patience = std::min(patience * kPatienceUsed,
-                      std::min(admitted_.route.timeout,
-                               admitted_.facts.deadline.value_or(
-                                   admitted_.route.timeout)));
+  absl::Duration patience = std::max(
+      {kClientPatience, admitted_.route.objective * kPatienceObjectives,
+       admitted_.route.pause_objective * kPatiencePauses});
+  patience = std::min(
+      patience * kPatienceUsed,
+      std::min(admitted_.route.timeout,
+               admitted_.facts.deadline.value_or(admitted_.route.timeout)));
   return admitted_.arrived + patience;
 }
 
@@ -148,6 +149,13 @@
 }
 
 void StreamRelay::StartPrefill() {
+  // The first prompt call is free, each further one is a repeated send.
+  if (prefills_ > 0 && !TakeRepeat()) {
+    ReleasePromptPlace();
+    reads_at_decode_ = true;
+    StartDecode();
+    return;
+  }
   phase_ = Phase::kPrefill;
   ++prefills_;
   const Backend* backend = context_.backends.Find(*placement_->prefill);
@@ -168,15 +176,14 @@
 }
 
 void StreamRelay::OnPrefillEvent(CallEvent event) {
-  std::visit(Overloaded{
-                 [&](HttpHead& head) { head_ = std::move(head); },
-                 [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
-                 [&](HttpEnd&) { OnPrefillEnd(); },
-                 [&](CallFailure&) {
-                   OnPrefillFailed("connection failed", false);
-                 },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](HttpHead& head) { head_ = std::move(head); },
+          [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
+          [&](HttpEnd&) { OnPrefillEnd(); },
+          [&](CallFailure&) { OnPrefillFailed("connection failed", false); },
+      },
+      event);
 }
 
 void StreamRelay::OnPrefillEnd() {
@@ -218,8 +225,7 @@
     excluded_.insert(prefill);
   }
   ReleasePromptPlace();
-  // The decoding engine can read the prompt itself, which repeats nothing.
-  if (prefills_ >= kMaxPrefills || !TakeRepeat()) {
+  if (prefills_ >= kMaxPrefills) {
     reads_at_decode_ = true;
     StartDecode();
     return;
@@ -244,6 +250,11 @@
     Submit();
     return;
   }
+  if (decode_sends_ > 0 && !TakeRepeat()) {
+    Release();
+    OnRefused({admitted_.id, StreamRefusalReason::kNoBudget, kRetryAfterFull});
+    return;
+  }
   ++decode_sends_;
   ++runs_;
   ForwardOptions forward;
@@ -265,14 +276,13 @@
 }
 
 void StreamRelay::OnDecodeEvent(CallEvent event) {
-  std::visit(
-      Overloaded{
-          [&](HttpHead& head) { OnDecodeHead(std::move(head)); },
-          [&](HttpBodyPart& part) { OnDecodeBytes(part.bytes); },
-          [&](HttpEnd&) { OnDecodeEnd(); },
-          [&](CallFailure& failure) { OnDecodeBroken(failure); },
-      },
-      event);
+  std::visit(Overloaded{
+                 [&](HttpHead& head) { OnDecodeHead(std::move(head)); },
+                 [&](HttpBodyPart& part) { OnDecodeBytes(part.bytes); },
+                 [&](HttpEnd&) { OnDecodeEnd(); },
+                 [&](CallFailure& failure) { OnDecodeBroken(failure); },
+             },
+             event);
 }
 
 void StreamRelay::OnDecodeHead(HttpHead head) {
@@ -320,8 +330,8 @@
       Finish("cut", head_.status, "resumed run failed");
       return;
     }
-    HttpResponse response{head_.status,
-                          context_.protocol.AnswerFields(head_), body_};
+    HttpResponse response{head_.status, context_.protocol.AnswerFields(head_),
+                          body_};
     context_.server->Respond(admitted_.id, response);
     Finish("answered", head_.status, placement_->decode.value());
     return;
@@ -350,10 +360,8 @@
   if (head_.status == 421) context_.backends.ReportFailure(decode, Now());
   Release();
   excluded_.insert(decode);
-  if (decode_sends_ >= kMaxDecodeSends || !TakeRepeat()) {
-    StreamRefusal refusal{admitted_.id, StreamRefusalReason::kQueueTooLong,
-                          kRetryAfterFull};
-    OnRefused(refusal);
+  if (decode_sends_ >= kMaxDecodeSends) {
+    OnRefused({admitted_.id, StreamRefusalReason::kNoEngines, kRetryAfterFull});
     return;
   }
   Submit();
@@ -382,7 +390,7 @@
   } else if (failure.error == CallError::kClosed) {
     context_.suspects.ReportBreak(admitted_.fingerprint, Now());
   }
-  if (failure.sent && MayResume() && TakeRepeat()) {
+  if (failure.sent && MayResume()) {
     ++context_.stats.resumed_streams;
     Submit();
     return;
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -54,9 +54,9 @@
         reader_(HttpReader::Role::kResponse, kMaxAnswerHeadBytes,
                 [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
         timer_(client.loop_, [this] { OnTimeout(); }) {
-    buffers_ = bufferevent_socket_new(
-        client.loop_.base(), -1,
-        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    buffers_ =
+        bufferevent_socket_new(client.loop_.base(), -1,
+                               BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(buffers_, &OnRead, nullptr, &OnState, this);
     bufferevent_enable(buffers_, EV_READ | EV_WRITE);
     timer_.Arm(connect_timeout);
@@ -86,7 +86,9 @@
   CallId call() const { return call_; }
   const Endpoint& server() const { return server_; }
 
-  bool IsUnsent() const { return !connected_ || OutputBytes() >= unsent_bytes_; }
+  bool IsUnsent() const {
+    return !connected_ || OutputBytes() >= unsent_bytes_;
+  }
 
   bool IsUsable(absl::Time now, absl::Duration max_idle) const {
     return now - idle_since_ <
@@ -140,20 +142,19 @@
   }
 
   void OnEvent(HttpReadEvent event) {
-    std::visit(
-        Overloaded{
-            [this](HttpHead& head) {
-              closes_ = !head.keep_alive || head.ends_with_connection;
-              keep_alive_ = KeepAliveTimeout(head);
-              skips_ = accepts_ && !accepts_(head);
-              if (!skips_) handler_(std::move(head));
-            },
-            [this](HttpBodyPart& part) {
-              if (!skips_ && handler_) handler_(part);
-            },
-            [](HttpEnd&) {},
-        },
-        event);
+    std::visit(Overloaded{
+                   [this](HttpHead& head) {
+                     closes_ = !head.keep_alive || head.ends_with_connection;
+                     keep_alive_ = KeepAliveTimeout(head);
+                     skips_ = accepts_ && !accepts_(head);
+                     if (!skips_) handler_(std::move(head));
+                   },
+                   [this](HttpBodyPart& part) {
+                     if (!skips_ && handler_) handler_(part);
+                   },
+                   [](HttpEnd&) {},
+               },
+               event);
   }
 
   // The answer has ended. Returns whether the connection is read further.
--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -27,8 +27,7 @@
 }
 
 bool IsFieldChar(char c) {
-  return c == '\t' ||
-         !absl::ascii_iscntrl(static_cast<unsigned char>(c));
+  return c == '\t' || !absl::ascii_iscntrl(static_cast<unsigned char>(c));
 }
 
 struct LengthFields {
@@ -41,8 +40,7 @@
   size_t colon = line.find(':');
   if (colon == absl::string_view::npos || colon == 0) return false;
   absl::string_view name = line.substr(0, colon);
-  absl::string_view value =
-      absl::StripAsciiWhitespace(line.substr(colon + 1));
+  absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
   if (!std::all_of(name.begin(), name.end(), IsTokenChar)) return false;
   if (!std::all_of(value.begin(), value.end(), IsFieldChar)) return false;
   if (absl::EqualsIgnoreCase(name, "Content-Length")) {
@@ -62,7 +60,8 @@
   std::vector<absl::string_view> lines = absl::StrSplit(head, kLineEnd);
   LengthFields lengths;
   for (size_t it = 0; it < lines.size(); ++it) {
-    if (lines[it].find_first_of("\r\n") != absl::string_view::npos) return false;
+    if (lines[it].find_first_of("\r\n") != absl::string_view::npos)
+      return false;
     if (it > 0 && !IsValidField(lines[it], lengths)) return false;
   }
   return lengths.lengths + lengths.encodings <= 1;
@@ -115,7 +114,8 @@
   }
   static int OnName(http_parser* parser, const char* at, size_t n) {
     HttpReader& self = Self(parser);
-    if (!self.head_parsed_) self.head_.fields.push_back({std::string(at, n), ""});
+    if (!self.head_parsed_)
+      self.head_.fields.push_back({std::string(at, n), ""});
     return 0;
   }
   static int OnValue(http_parser* parser, const char* at, size_t n) {
@@ -197,8 +197,8 @@
   absl::StrAppend(&head_bytes_, bytes.substr(taken));
   size_t search = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
   size_t end = head_bytes_.find(kHeadEnd.data(), search);
-  size_t size = end == std::string::npos ? head_bytes_.size()
-                                         : end + kHeadEnd.size();
+  size_t size =
+      end == std::string::npos ? head_bytes_.size() : end + kHeadEnd.size();
   if (size > max_head_bytes_) {
     Fail(HttpReadError::kHeadTooLarge);
     return bytes.size();
@@ -236,8 +236,7 @@
   head_parsed_ = true;
   head_.keep_alive = http_should_keep_alive(parser_.get()) != 0;
   if (role_ == Role::kRequest) {
-    head_.method =
-        http_method_str(static_cast<http_method>(parser_->method));
+    head_.method = http_method_str(static_cast<http_method>(parser_->method));
   } else {
     head_.status = static_cast<int>(parser_->status_code);
     head_.ends_with_connection =
@@ -271,9 +270,9 @@
 }
 
 std::string EncodeRequest(const HttpRequest& request) {
-  std::string out = absl::StrCat(request.head.method, " ", request.head.target,
-                                 " HTTP/1.1\r\n",
-                                 FieldLines(request.head.fields));
+  std::string out =
+      absl::StrCat(request.head.method, " ", request.head.target,
+                   " HTTP/1.1\r\n", FieldLines(request.head.fields));
   if (!request.body.empty() || request.head.method == "POST" ||
       request.head.method == "PUT") {
     absl::StrAppend(&out, "Content-Length: ", request.body.size(), kLineEnd);
@@ -308,9 +307,17 @@
 
 bool IsHopByHop(absl::string_view name) {
   static constexpr std::array<absl::string_view, 11> names = {
-      "Connection",       "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-      "Content-Length",   "TE",         "Trailer",          "Upgrade",
-      "Proxy-Authenticate", "Proxy-Authorization", "Expect"};
+      "Connection",
+      "Keep-Alive",
+      "Proxy-Connection",
+      "Transfer-Encoding",
+      "Content-Length",
+      "TE",
+      "Trailer",
+      "Upgrade",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "Expect"};
   return std::any_of(names.begin(), names.end(), [&](absl::string_view it) {
     return absl::EqualsIgnoreCase(it, name);
   });
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -290,8 +290,7 @@
       [](evconnlistener* /*listener*/, int accepted, sockaddr* address,
          int /*length*/, void* context) {
         static_cast<HttpServer*>(context)->Accept(
-            accepted,
-            Endpoint::From(*reinterpret_cast<sockaddr_in*>(address)));
+            accepted, Endpoint::From(*reinterpret_cast<sockaddr_in*>(address)));
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, socket);
   return listener_->handle != nullptr;
--- a/lib/net/socket.cc
+++ b/lib/net/socket.cc
@@ -65,8 +65,8 @@
 
 void SetTcpOptions(int socket, absl::Duration silence) {
   int seconds = std::max<int>(
-      1, static_cast<int>(absl::ToInt64Seconds(silence) /
-                          (kKeepAliveProbes + 1)));
+      1,
+      static_cast<int>(absl::ToInt64Seconds(silence) / (kKeepAliveProbes + 1)));
   SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
