--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -182,8 +182,7 @@
   backend->changing_until = std::max(backend->changing_until, until);
 }
 
-std::map<BackendName, absl::Time> BackendTable::Changing(
-    absl::Time now) const {
+std::map<BackendName, absl::Time> BackendTable::Changing(absl::Time now) const {
   std::map<BackendName, absl::Time> changing;
   for (const auto& it : backends_) {
     if (it.second.changing_until > now) {
--- a/lib/testbed/world_faults.cc
+++ b/lib/testbed/world_faults.cc
@@ -1,9 +1,9 @@
 // Faults of processes, connections and the platform.
 
-#include "chervilwick/testbed/world.h"
-
 #include <algorithm>
 
+#include "chervilwick/testbed/world.h"
+
 namespace chervilwick {
 
 void World::Disconnect(const NodeName& name) {
