Lint clean for the new libraries; learn the prompt rate from exact ratios

The linter found a ratio of durations that was cut to a whole number, so that the learned rate never rose.

--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -69,13 +69,13 @@
   // Takes one repeated send out of the fleet's budget.
   bool TakeRepeat();
   bool is_finished() const { return is_finished_; }
-
-  FrontContext& context_;
-  AdmittedRequest admitted_;
+  FrontContext& context() const { return context_; }
 
  private:
   void ArmTimeout();
 
+  FrontContext& context_;
+  AdmittedRequest admitted_;
   Finished finished_;
   Timer timeout_;
   bool is_finished_ = false;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -207,7 +207,7 @@
         reason == "quarantined" ? kRetryAfterQuarantine : kRetryAfterStart));
   }
   clients_.Respond(id, response);
-  context_.stats.CountOutcome("-", std::string(reason));
+  context_.stats.CountOutcome("-", absl::StrCat(reason));
   context_.log.Write(loop_.Now(), "request_rejected",
                      {{"id", facts.request_id},
                       {"status", status},
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "chervilwick/support/random_seed.h"
 #include "chervilwick/wire/archive.h"
@@ -163,7 +164,7 @@
 void PeerLink::SetSeeds(const std::string& seeds) {
   seeds_.clear();
   for (absl::string_view it : absl::StrSplit(seeds, ',', absl::SkipEmpty())) {
-    auto control = Endpoint::Parse(std::string(it));
+    auto control = Endpoint::Parse(absl::StrCat(it));
     // Ports are the same on all hosts.
     if (control && control->ip != self_.ip) {
       seeds_.insert({control->ip, self_.port});
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -42,20 +42,20 @@
 void PlainRelay::Start() {
   Send();
   if (!is_finished() && MayRunAgain()) {
-    slow_.Arm(admitted_.route.objective * kSlowShare);
+    slow_.Arm(admitted().route.objective * kSlowShare);
   }
 }
 
 bool PlainRelay::MayRunAgain() const {
-  return admitted_.route.kind == RouteKind::kIdempotent &&
-         runs_ < admitted_.route.attempts && sends_ < kMaxSends &&
+  return admitted().route.kind == RouteKind::kIdempotent &&
+         runs_ < admitted().route.attempts && sends_ < kMaxSends &&
          !is_client_gone_;
 }
 
 void PlainRelay::Send() {
   Backend* backend =
-      ChooseForCall(context_.backends, admitted_.service,
-                    ZoneName(context_.settings.zone), tried_, Now());
+      ChooseForCall(context().backends, admitted().service,
+                    ZoneName(context().settings.zone), tried_, Now());
   if (backend == nullptr) {
     if (!attempts_.empty()) return;
     if (failure_answer_) {
@@ -80,16 +80,16 @@
   attempt.backend = backend->record.id;
   tried_.insert(attempt.backend);
   backend->own += {1, 0, 0};
-  attempt.call = context_.client.Start(
+  attempt.call = context().client.Start(
       backend->record.endpoint,
-      context_.protocol.Forward(admitted_.request, forward), options,
+      context().protocol.Forward(admitted().request, forward), options,
       [this, number](CallEvent event) { OnEvent(number, std::move(event)); });
-  context_.log.Write(Now(), "sent",
-                     {{"id", admitted_.facts.request_id},
-                      {"backend", attempt.backend.value()},
-                      {"send", sends_},
-                      {"in_flight", backend->Total().requests},
-                      {"slowness", backend->time_percent}});
+  context().log.Write(Now(), "sent",
+                      {{"id", admitted().facts.request_id},
+                       {"backend", attempt.backend.value()},
+                       {"send", sends_},
+                       {"in_flight", backend->Total().requests},
+                       {"slowness", backend->time_percent}});
 }
 
 void PlainRelay::OnEvent(uint32_t number, CallEvent event) {
@@ -101,7 +101,7 @@
           [&](HttpHead& head) { attempt.head = std::move(head); },
           [&](HttpBodyPart& part) {
             if (attempt.body.size() + part.bytes.size() > kMaxAnswerBytes) {
-              context_.client.Cancel(attempt.call);
+              context().client.Cancel(attempt.call);
               OnFailure(number, {CallError::kMalformed, true});
               return;
             }
@@ -117,7 +117,7 @@
   auto it = attempts_.find(number);
   Attempt attempt = std::move(it->second);
   attempts_.erase(it);
-  Backend* backend = context_.backends.Find(attempt.backend);
+  Backend* backend = context().backends.Find(attempt.backend);
   if (backend != nullptr && backend->own.requests > 0) {
     backend->own.requests -= 1;
   }
@@ -126,7 +126,7 @@
 
 void PlainRelay::OnFailure(uint32_t number, const CallFailure& failure) {
   Attempt attempt = Take(number);
-  context_.backends.ReportFailure(attempt.backend, Now());
+  context().backends.ReportFailure(attempt.backend, Now());
   if (!failure.sent) {
     --runs_;
     Log("not_sent", attempt.backend.value(), "connection failed");
@@ -135,7 +135,7 @@
     return;
   }
   if (failure.error == CallError::kClosed) {
-    context_.suspects.ReportBreak(admitted_.fingerprint, Now());
+    context().suspects.ReportBreak(admitted().fingerprint, Now());
   }
   Log("broke_off", attempt.backend.value(),
       failure.error == CallError::kMalformed ? "malformed answer"
@@ -167,9 +167,9 @@
 
 void PlainRelay::OnAnswer(uint32_t number) {
   Attempt attempt = Take(number);
-  AnswerFacts facts = context_.protocol.ReadAnswer(attempt.head);
+  AnswerFacts facts = context().protocol.ReadAnswer(attempt.head);
   int status = attempt.head.status;
-  if (Backend* it = context_.backends.Find(attempt.backend);
+  if (Backend* it = context().backends.Find(attempt.backend);
       it != nullptr && facts.load) {
     it->time_percent = facts.load->time_percent;
   }
@@ -179,16 +179,16 @@
     return;
   }
   if (status >= kFirstFailure) {
-    context_.backends.ReportError(attempt.backend, Now());
+    context().backends.ReportError(attempt.backend, Now());
   } else {
-    context_.backends.ReportSuccess(attempt.backend, Now());
+    context().backends.ReportSuccess(attempt.backend, Now());
   }
   if (IsSuccess(status) && !facts.is_engines_own) {
     Log("unproven_answer", attempt.backend.value(), "no receipt");
     SendAgainOrEnd(MayRunAgain(), {502, "unproven_answer"});
     return;
   }
-  context_.suspects.Clear(admitted_.fingerprint);
+  context().suspects.Clear(admitted().fingerprint);
   if (status >= kFirstFailure && MayRunAgain()) {
     failure_answer_ = attempt;
     Log("engine_failed", attempt.backend.value(), "repeating");
@@ -204,10 +204,10 @@
 
 void PlainRelay::OnNotRun(const BackendName& backend, int status) {
   if (status == kMisdirected) {
-    context_.backends.ReportFailure(backend, Now());
-    context_.backends.ReportFailure(backend, Now());
+    context().backends.ReportFailure(backend, Now());
+    context().backends.ReportFailure(backend, Now());
   } else {
-    context_.backends.ReportFull(backend, Now());
+    context().backends.ReportFull(backend, Now());
   }
   Log("not_run", backend.value(),
       status == kMisdirected ? "another server has the address" : "full");
@@ -217,7 +217,7 @@
 
 void PlainRelay::OnSlow() {
   if (!MayRunAgain() || attempts_.empty()) return;
-  if (context_.quota.Left(admitted_.service, Now()) < kHedgeReserve) return;
+  if (context().quota.Left(admitted().service, Now()) < kHedgeReserve) return;
   if (!TakeRepeat()) return;
   Log("slow", attempts_.begin()->second.backend.value(), "second run");
   Send();
@@ -227,9 +227,9 @@
   CancelAll();
   HttpResponse response;
   response.status = attempt.head.status;
-  response.fields = context_.protocol.AnswerFields(attempt.head);
+  response.fields = context().protocol.AnswerFields(attempt.head);
   response.body = attempt.body;
-  context_.server->Respond(admitted_.id, response);
+  context().server->Respond(admitted().id, response);
   Finish(is_client_gone_ ? "client_gone" : "answered", response.status,
          attempt.backend.value());
 }
@@ -238,14 +238,14 @@
   slow_.Cancel();
   std::vector<uint32_t> numbers;
   for (const auto& it : attempts_) numbers.push_back(it.first);
-  for (uint32_t it : numbers) context_.client.Cancel(Take(it).call);
+  for (uint32_t it : numbers) context().client.Cancel(Take(it).call);
 }
 
 void PlainRelay::OnClientGone() {
   is_client_gone_ = true;
   // A run that can't be repeated goes on: cutting it would leave its outcome
   // unknown to the service.
-  if (!admitted_.route.MayRepeat() && !attempts_.empty()) return;
+  if (!admitted().route.MayRepeat() && !attempts_.empty()) return;
   CancelAll();
   Finish("client_gone", 0, "");
 }
@@ -259,8 +259,8 @@
   }
   bool all_unsent = runs_ == attempts_.size();
   for (const auto& it : attempts_) {
-    all_unsent = all_unsent && context_.client.IsUnsent(it.second.call);
-    context_.backends.ReportFailure(it.second.backend, Now());
+    all_unsent = all_unsent && context().client.IsUnsent(it.second.call);
+    context().backends.ReportFailure(it.second.backend, Now());
   }
   CancelAll();
   End({all_unsent ? 503 : 504, "timeout"});
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace chervilwick {
 namespace {
 
@@ -90,7 +92,7 @@
   if (is_finished_) return;
   is_finished_ = true;
   timeout_.Cancel();
-  context_.stats.CountOutcome(admitted_.route.name, std::string(outcome));
+  context_.stats.CountOutcome(admitted_.route.name, absl::StrCat(outcome));
   context_.stats.answer_time[admitted_.route.name].Add(Elapsed());
   context_.log.Write(Now(), "request_done",
                      {{"id", admitted_.facts.request_id},
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -60,7 +60,7 @@
       silence_(context.loop, [this] { OnSilence(); }) {}
 
 StreamRelay::~StreamRelay() {
-  if (call_.value() != 0) context_.client.Cancel(call_);
+  if (call_.value() != 0) context().client.Cancel(call_);
   Release();
 }
 
@@ -68,32 +68,32 @@
 
 absl::Time StreamRelay::ClientPatienceEnd() const {
   absl::Duration patience = std::max(
-      {kClientPatience, admitted_.route.objective * kPatienceObjectives,
-       admitted_.route.pause_objective * kPatiencePauses});
+      {kClientPatience, admitted().route.objective * kPatienceObjectives,
+       admitted().route.pause_objective * kPatiencePauses});
   patience = std::min(
       patience * kPatienceUsed,
-      std::min(admitted_.route.timeout,
-               admitted_.facts.deadline.value_or(admitted_.route.timeout)));
-  return admitted_.arrived + patience;
+      std::min(admitted().route.timeout,
+               admitted().facts.deadline.value_or(admitted().route.timeout)));
+  return admitted().arrived + patience;
 }
 
 StreamJob StreamRelay::MakeJob() const {
   StreamJob job;
-  job.id = admitted_.id;
-  job.service = admitted_.service;
-  job.arrived = admitted_.arrived;
-  job.first_event_due = admitted_.arrived + admitted_.route.objective;
+  job.id = admitted().id;
+  job.service = admitted().service;
+  job.arrived = admitted().arrived;
+  job.first_event_due = admitted().arrived + admitted().route.objective;
   job.give_up_at = ClientPatienceEnd();
   if (is_streaming_) {
     // The client waits from its last event on.
-    job.first_event_due = Now() + admitted_.route.pause_objective;
-    job.give_up_at = Now() + (ClientPatienceEnd() - admitted_.arrived);
+    job.first_event_due = Now() + admitted().route.pause_objective;
+    job.give_up_at = Now() + (ClientPatienceEnd() - admitted().arrived);
   }
-  job.prompt_tokens = admitted_.facts.prompt_tokens;
-  uint32_t most = admitted_.facts.max_output_tokens;
+  job.prompt_tokens = admitted().facts.prompt_tokens;
+  uint32_t most = admitted().facts.max_output_tokens;
   job.output_tokens =
-      admitted_.facts.output_hint
-          ? std::min(most, static_cast<uint32_t>(*admitted_.facts.output_hint *
+      admitted().facts.output_hint
+          ? std::min(most, static_cast<uint32_t>(*admitted().facts.output_hint *
                                                  kOutputMargin))
           : most;
   job.has_prompt = reads_at_decode_ || HasFreshHandle();
@@ -104,17 +104,17 @@
 void StreamRelay::Submit() {
   phase_ = Phase::kWaiting;
   std::optional<StreamRefusal> refusal =
-      context_.scheduler.Submit(MakeJob(), Now());
+      context().scheduler.Submit(MakeJob(), Now());
   if (refusal) {
     OnRefused(*refusal);
     return;
   }
-  context_.wake_scheduler();
+  context().wake_scheduler();
 }
 
 void StreamRelay::OnRefused(const StreamRefusal& refusal) {
   if (is_streaming_) {
-    context_.server->Abort(admitted_.id);
+    context().server->Abort(admitted().id);
     Finish("cut", kOk, ReasonText(refusal.reason));
     return;
   }
@@ -129,11 +129,11 @@
   placement_ = placement;
   holds_prompt_place_ = placement.prompt_tokens > 0;
   holds_decode_place_ = true;
-  context_.stats.queue_time[admitted_.route.name].Add(placement.waited);
-  const Backend* decode = context_.backends.Find(placement.decode);
-  context_.log.Write(
+  context().stats.queue_time[admitted().route.name].Add(placement.waited);
+  const Backend* decode = context().backends.Find(placement.decode);
+  context().log.Write(
       Now(), "placed",
-      {{"id", admitted_.facts.request_id},
+      {{"id", admitted().facts.request_id},
        {"decode", placement.decode.value()},
        {"prefill", placement.prefill ? placement.prefill->value() : "-"},
        {"tokens", placement.memory_tokens},
@@ -154,7 +154,7 @@
   if (prefills_ > 0) ++counted_sends_;
   phase_ = Phase::kPrefill;
   ++prefills_;
-  const Backend* backend = context_.backends.Find(*placement_->prefill);
+  const Backend* backend = context().backends.Find(*placement_->prefill);
   ForwardOptions forward;
   forward.expected = backend->record.id;
   forward.remaining = ClientRemaining();
@@ -165,9 +165,9 @@
   step_started_ = Now();
   silence_.Arm(placement_->prefill_estimate * kPrefillPatience +
                kPrefillMargin);
-  call_ = context_.client.Start(
+  call_ = context().client.Start(
       backend->record.endpoint,
-      context_.protocol.Forward(admitted_.request, forward), options,
+      context().protocol.Forward(admitted().request, forward), options,
       [this](CallEvent event) { OnPrefillEvent(std::move(event)); });
 }
 
@@ -175,7 +175,7 @@
   if (counted_sends_ == 0 || TakeRepeat()) return true;
   Release();
   FreeHandle();
-  OnRefused({admitted_.id, StreamRefusalReason::kNoBudget, kRetryAfterFull});
+  OnRefused({admitted().id, StreamRefusalReason::kNoBudget, kRetryAfterFull});
   return false;
 }
 
@@ -193,20 +193,21 @@
 void StreamRelay::OnPrefillEnd() {
   call_ = CallId();
   silence_.Cancel();
-  std::optional<std::string> handle = context_.protocol.ReadHandle(body_);
+  std::optional<std::string> handle = context().protocol.ReadHandle(body_);
   if (head_.status != kOk || !handle) {
-    AnswerFacts facts = context_.protocol.ReadAnswer(head_);
+    AnswerFacts facts = context().protocol.ReadAnswer(head_);
     if (facts.is_not_run && prefills_ == 1) ++counted_sends_;
     OnPrefillFailed("engine refused", facts.is_not_run);
     return;
   }
   ReleasePromptPlace();
-  const Backend* backend = context_.backends.Find(*placement_->prefill);
-  context_.backends.ReportSuccess(*placement_->prefill, Now());
-  context_.stats.prompt_time.Add(Now() - step_started_);
+  const Backend* backend = context().backends.Find(*placement_->prefill);
+  context().backends.ReportSuccess(*placement_->prefill, Now());
+  context().stats.prompt_time.Add(Now() - step_started_);
   if (placement_->prefill_estimate > absl::ZeroDuration()) {
-    double scale = (Now() - step_started_) / placement_->prefill_estimate;
-    context_.scheduler.ObservePrompt(scale);
+    double scale =
+        absl::FDivDuration(Now() - step_started_, placement_->prefill_estimate);
+    context().scheduler.ObservePrompt(scale);
   }
   if (backend == nullptr) {
     OnPrefillFailed("engine gone", false);
@@ -215,7 +216,7 @@
   handle_ = KvSource{backend->record.endpoint, *handle};
   handle_made_ = Now();
   StartDecode();
-  context_.wake_scheduler();
+  context().wake_scheduler();
 }
 
 void StreamRelay::OnPrefillFailed(absl::string_view why, bool is_full) {
@@ -224,9 +225,9 @@
   BackendName prefill = *placement_->prefill;
   Log("prefill_failed", prefill.value(), why);
   if (is_full) {
-    context_.backends.ReportFull(prefill, Now());
+    context().backends.ReportFull(prefill, Now());
   } else {
-    context_.backends.ReportFailure(prefill, Now());
+    context().backends.ReportFailure(prefill, Now());
     excluded_.insert(prefill);
   }
   ReleasePromptPlace();
@@ -241,7 +242,7 @@
 
 bool StreamRelay::HasFreshHandle() const {
   if (!handle_) return false;
-  const EngineTraits* traits = context_.engine_traits(admitted_.service);
+  const EngineTraits* traits = context().engine_traits(admitted().service);
   absl::Duration lifetime = traits == nullptr ? EngineTraits().handle_lifetime
                                               : traits->handle_lifetime;
   return Now() - handle_made_ < lifetime * kHandleShare;
@@ -249,7 +250,7 @@
 
 void StreamRelay::StartDecode() {
   phase_ = Phase::kDecode;
-  const Backend* backend = context_.backends.Find(placement_->decode);
+  const Backend* backend = context().backends.Find(placement_->decode);
   if (backend == nullptr) {
     Release();
     Submit();
@@ -264,16 +265,16 @@
   forward.remaining = ClientRemaining();
   if (HasFreshHandle()) forward.kv_source = handle_;
   forward.resume_after =
-      events_.last_id() ? events_.last_id() : admitted_.facts.last_event;
+      events_.last_id() ? events_.last_id() : admitted().facts.last_event;
   CallOptions options = EngineCallOptions();
   options.connect_timeout = kConnectTimeout;
   step_started_ = Now();
   body_.clear();
   events_.DropRest();
   silence_.Arm(kSilenceNoted);
-  call_ = context_.client.Start(
+  call_ = context().client.Start(
       backend->record.endpoint,
-      context_.protocol.Forward(admitted_.request, forward), options,
+      context().protocol.Forward(admitted().request, forward), options,
       [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
 }
 
@@ -288,8 +289,8 @@
 }
 
 void StreamRelay::OnDecodeHead(HttpHead head) {
-  AnswerFacts facts = context_.protocol.ReadAnswer(head);
-  Backend* backend = context_.backends.Find(placement_->decode);
+  AnswerFacts facts = context().protocol.ReadAnswer(head);
+  Backend* backend = context().backends.Find(placement_->decode);
   if (backend != nullptr && facts.load) {
     backend->time_percent = facts.load->time_percent;
   }
@@ -299,42 +300,42 @@
   handle_.reset();
   if (is_streaming_) return;  // resumed: the first engine's head stands
   is_streaming_ = true;
-  context_.stats.first_event[admitted_.route.name].Add(Elapsed());
+  context().stats.first_event[admitted().route.name].Add(Elapsed());
   Log("streaming", placement_->decode.value(), "head received");
-  context_.server->BeginStream(admitted_.id, head_.status,
-                               context_.protocol.AnswerFields(head_));
+  context().server->BeginStream(admitted().id, head_.status,
+                                context().protocol.AnswerFields(head_));
 }
 
 void StreamRelay::OnDecodeBytes(absl::string_view bytes) {
   silence_.Arm(kSilenceNoted);
   silent_once_ = false;
-  context_.backends.ReportAlive(placement_->decode, Now());
-  AnswerFacts facts = context_.protocol.ReadAnswer(head_);
+  context().backends.ReportAlive(placement_->decode, Now());
+  AnswerFacts facts = context().protocol.ReadAnswer(head_);
   if (!IsSuccess(head_.status) || !facts.is_engines_own) {
     absl::StrAppend(&body_, bytes);
     return;
   }
-  context_.server->SendStream(admitted_.id, events_.Append(bytes));
+  context().server->SendStream(admitted().id, events_.Append(bytes));
 }
 
 void StreamRelay::OnDecodeEnd() {
   call_ = CallId();
   silence_.Cancel();
-  AnswerFacts facts = context_.protocol.ReadAnswer(head_);
+  AnswerFacts facts = context().protocol.ReadAnswer(head_);
   if (facts.is_not_run) {
     OnDecodeNotRun();
     return;
   }
-  context_.suspects.Clear(admitted_.fingerprint);
+  context().suspects.Clear(admitted().fingerprint);
   if (!IsSuccess(head_.status)) {
     if (is_streaming_) {
-      context_.server->Abort(admitted_.id);
+      context().server->Abort(admitted().id);
       Finish("cut", head_.status, "resumed run failed");
       return;
     }
-    HttpResponse response{head_.status, context_.protocol.AnswerFields(head_),
+    HttpResponse response{head_.status, context().protocol.AnswerFields(head_),
                           body_};
-    context_.server->Respond(admitted_.id, response);
+    context().server->Respond(admitted().id, response);
     Finish("answered", head_.status, placement_->decode.value());
     return;
   }
@@ -342,10 +343,10 @@
     OnDecodeBroken({CallError::kMalformed, true});
     return;
   }
-  context_.server->SendStream(admitted_.id, events_.TakeRest());
-  context_.server->EndStream(admitted_.id);
-  context_.scheduler.ObserveStream(Now() - step_started_);
-  context_.backends.ReportSuccess(placement_->decode, Now());
+  context().server->SendStream(admitted().id, events_.TakeRest());
+  context().server->EndStream(admitted().id);
+  context().scheduler.ObserveStream(Now() - step_started_);
+  context().backends.ReportSuccess(placement_->decode, Now());
   Finish("answered", head_.status, placement_->decode.value());
 }
 
@@ -358,19 +359,20 @@
     FreeHandle();
     reads_at_decode_ = true;
   }
-  context_.backends.ReportFull(decode, Now());
-  if (head_.status == 421) context_.backends.ReportFailure(decode, Now());
+  context().backends.ReportFull(decode, Now());
+  if (head_.status == 421) context().backends.ReportFailure(decode, Now());
   Release();
   excluded_.insert(decode);
   if (decode_sends_ >= kMaxDecodeSends) {
-    OnRefused({admitted_.id, StreamRefusalReason::kNoEngines, kRetryAfterFull});
+    OnRefused(
+        {admitted().id, StreamRefusalReason::kNoEngines, kRetryAfterFull});
     return;
   }
   Submit();
 }
 
 bool StreamRelay::MayResume() const {
-  return admitted_.route.resumable && runs_ < admitted_.route.attempts &&
+  return admitted().route.resumable && runs_ < admitted().route.attempts &&
          decode_sends_ < kMaxDecodeSends;
 }
 
@@ -378,7 +380,7 @@
   call_ = CallId();
   silence_.Cancel();
   BackendName decode = placement_->decode;
-  context_.backends.ReportFailure(decode, Now());
+  context().backends.ReportFailure(decode, Now());
   Log("decode_broke_off", decode.value(),
       failure.sent ? "connection closed" : "not sent");
   Release();
@@ -390,15 +392,15 @@
       return;
     }
   } else if (failure.error == CallError::kClosed) {
-    context_.suspects.ReportBreak(admitted_.fingerprint, Now());
+    context().suspects.ReportBreak(admitted().fingerprint, Now());
   }
   if (failure.sent && MayResume()) {
-    ++context_.stats.resumed_streams;
+    ++context().stats.resumed_streams;
     Submit();
     return;
   }
   if (is_streaming_) {
-    context_.server->Abort(admitted_.id);
+    context().server->Abort(admitted().id);
     Finish("cut", kOk, "backend_broke_off");
     return;
   }
@@ -408,12 +410,12 @@
 
 void StreamRelay::OnSilence() {
   if (phase_ == Phase::kPrefill) {
-    context_.client.Cancel(call_);
+    context().client.Cancel(call_);
     OnPrefillFailed("no answer in time", false);
     return;
   }
   if (phase_ != Phase::kDecode) return;
-  context_.backends.ReportFailure(placement_->decode, Now());
+  context().backends.ReportFailure(placement_->decode, Now());
   Log("decode_silent", placement_->decode.value(), "no bytes");
   if (!MayResume()) return;
   if (!silent_once_) {
@@ -421,50 +423,50 @@
     silence_.Arm(kSilenceResume - kSilenceNoted);
     return;
   }
-  context_.client.Cancel(call_);
+  context().client.Cancel(call_);
   OnDecodeBroken({CallError::kConnect, true});
 }
 
 void StreamRelay::ReleasePromptPlace() {
-  if (holds_prompt_place_) context_.scheduler.ReleasePrompt(*placement_);
+  if (holds_prompt_place_) context().scheduler.ReleasePrompt(*placement_);
   holds_prompt_place_ = false;
 }
 
 void StreamRelay::Release() {
   if (!placement_) return;
   ReleasePromptPlace();
-  if (holds_decode_place_) context_.scheduler.ReleaseDecode(*placement_);
+  if (holds_decode_place_) context().scheduler.ReleaseDecode(*placement_);
   holds_prompt_place_ = false;
   holds_decode_place_ = false;
-  context_.wake_scheduler();
+  context().wake_scheduler();
 }
 
 void StreamRelay::FreeHandle() {
   if (!handle_) return;
-  context_.client.Start(handle_->engine,
-                        context_.protocol.FreeHandle(handle_->handle),
-                        CallOptions(), [](const CallEvent&) {});
+  context().client.Start(handle_->engine,
+                         context().protocol.FreeHandle(handle_->handle),
+                         CallOptions(), [](const CallEvent&) {});
   handle_.reset();
 }
 
 void StreamRelay::OnClientGone() {
-  context_.scheduler.Withdraw(admitted_.id);
+  context().scheduler.Withdraw(admitted().id);
   silence_.Cancel();
-  if (call_.value() != 0) context_.client.Cancel(call_);
+  if (call_.value() != 0) context().client.Cancel(call_);
   call_ = CallId();
   FreeHandle();
   Finish("client_gone", 0, is_streaming_ ? "streaming" : "before first event");
 }
 
 void StreamRelay::OnTimeout() {
-  context_.scheduler.Withdraw(admitted_.id);
+  context().scheduler.Withdraw(admitted().id);
   silence_.Cancel();
-  bool unsent = call_.value() != 0 && context_.client.IsUnsent(call_);
-  if (call_.value() != 0) context_.client.Cancel(call_);
+  bool unsent = call_.value() != 0 && context().client.IsUnsent(call_);
+  if (call_.value() != 0) context().client.Cancel(call_);
   call_ = CallId();
   FreeHandle();
   if (is_streaming_) {
-    context_.server->Abort(admitted_.id);
+    context().server->Abort(admitted().id);
     Finish("cut", kOk, "timeout");
     return;
   }
--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -60,8 +60,9 @@
   std::vector<absl::string_view> lines = absl::StrSplit(head, kLineEnd);
   LengthFields lengths;
   for (size_t it = 0; it < lines.size(); ++it) {
-    if (lines[it].find_first_of("\r\n") != absl::string_view::npos)
-      return false;
+    bool has_bare_end =
+        lines[it].find_first_of("\r\n") != absl::string_view::npos;
+    if (has_bare_end) return false;
     if (it > 0 && !IsValidField(lines[it], lengths)) return false;
   }
   return lengths.lengths + lengths.encodings <= 1;
@@ -114,8 +115,8 @@
   }
   static int OnName(http_parser* parser, const char* at, size_t n) {
     HttpReader& self = Self(parser);
-    if (!self.head_parsed_)
-      self.head_.fields.push_back({std::string(at, n), ""});
+    if (self.head_parsed_) return 0;
+    self.head_.fields.push_back({std::string(at, n), ""});
     return 0;
   }
   static int OnValue(http_parser* parser, const char* at, size_t n) {
--- a/lib/settings/settings.cc
+++ b/lib/settings/settings.cc
@@ -152,7 +152,7 @@
           [&value](const std::string& text) {
             for (absl::string_view it :
                  absl::StrSplit(text, ',', absl::SkipWhitespace())) {
-              if (!IsAddress(std::string(it))) return false;
+              if (!IsAddress(absl::StrCat(it))) return false;
             }
             value = text;
             return true;
--- a/unittests/common/raw_peer.cc
+++ b/unittests/common/raw_peer.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace chervilwick {
 namespace {
@@ -26,9 +27,11 @@
   int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = Endpoint{kLoopback, 0}.ToSockaddr();
   socklen_t length = sizeof(address);
-  bind(socket, reinterpret_cast<sockaddr*>(&address), length);
-  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  bool is_bound =
+      bind(socket, raw, length) == 0 && getsockname(socket, raw, &length) == 0;
   close(socket);
+  if (!is_bound) throw std::runtime_error("no free port on loopback");
   return Endpoint::From(address);
 }
 
--- a/unittests/dispatch/placement_test.cc
+++ b/unittests/dispatch/placement_test.cc
@@ -3,8 +3,10 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/call_balancer.h"
@@ -146,8 +148,10 @@
       auto in_window = [&](absl::Time at) {
         return at >= start && at < start + absl::Seconds(10);
       };
-      double asked = std::count_if(requests.begin(), requests.end(), within);
-      double sent = std::count_if(repeats.begin(), repeats.end(), in_window);
+      auto asked = static_cast<double>(
+          std::count_if(requests.begin(), requests.end(), within));
+      auto sent = static_cast<double>(
+          std::count_if(repeats.begin(), repeats.end(), in_window));
       RC_ASSERT(sent <= bounds.ratio * asked + bounds.slack);
     }
   });
--- a/unittests/fuzz/regression_test.cc
+++ b/unittests/fuzz/regression_test.cc
@@ -40,7 +40,9 @@
       {K::kGoAway, 210, 3154, 249},       {K::kPoison, 61, 5424, 298},
       {K::kKeyedBooking, 50, 4351, 102},  {K::kPatch, 545, 17, 247},
       {K::kDrain, 393, 3009, 100},        {K::kRacingPatches, 202, 876, 383}};
-  CHECK(Replay(396926, steps) == "");
+  std::string violation = Replay(396926, steps);
+  INFO(violation);
+  CHECK(violation.empty());
 }
 
 // A pause that was extended let the client's leaving overtake its request: a
@@ -72,7 +74,9 @@
       {K::kRestart, 43, 4642, 77},        {K::kBooking, 494, 1193, 462},
       {K::kUndrain, 525, 5204, 138},      {K::kUndrain, 83, 4042, 208},
       {K::kSplitPools, 463, 850, 438}};
-  CHECK(Replay(121071, steps) == "");
+  std::string violation = Replay(121071, steps);
+  INFO(violation);
+  CHECK(violation.empty());
 }
 
 }  // namespace
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "chervilwick/net/http_client.h"
 #include "chervilwick/net/http_server.h"
 #include "chervilwick/support/overloaded.h"
@@ -29,7 +30,7 @@
       std::visit(
           Overloaded{
               [this](HttpHead& it) { statuses.push_back(it.status); },
-              [this](HttpBodyPart& it) { body += std::string(it.bytes); },
+              [this](HttpBodyPart& it) { absl::StrAppend(&body, it.bytes); },
               [this](HttpEnd&) { ended = true; },
               [this](CallFailure& it) { failure = it; },
           },
--- a/unittests/net/http_message_test.cc
+++ b/unittests/net/http_message_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "chervilwick/support/overloaded.h"
 
 namespace chervilwick {
@@ -25,7 +26,7 @@
       std::visit(
           Overloaded{
               [this](HttpHead& it) { heads.push_back(std::move(it)); },
-              [this](HttpBodyPart& it) { body += std::string(it.bytes); },
+              [this](HttpBodyPart& it) { absl::StrAppend(&body, it.bytes); },
               [this](HttpEnd&) { ++ends; },
           },
           event);
