Explain a request from the logs; pages for the platform

chervilwick-ctl explain ID reads fronts' logs; OPERATIONS.md shows three kinds of failed request, each kept true by a test that plays the failure.

--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -24,7 +24,7 @@
 // Owned by the daemon; outlives every relay.
 struct FrontContext {
   FrontContext(EventLoop& event_loop, const OutsideProtocol& outside,
-               const FrontSettings& front_settings);
+               const FrontSettings& front_settings, int log_descriptor);
 
   EventLoop& loop;
   const OutsideProtocol& protocol;
@@ -36,6 +36,8 @@
   StreamScheduler scheduler;
   RetryQuota quota;
   CrashSuspects suspects;
+  // Age of the list of backend servers and of the configuration.
+  std::function<absl::Duration()> store_age;
   // Set by the daemon once it listens.
   HttpServer* server = nullptr;
   // Asks for another round of scheduling soon.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -18,12 +18,18 @@
 
 namespace chervilwick {
 
+// Path of a front's copy of the store, at its control address.
+inline constexpr char kPeerCopyPath[] = "/copy";
+
 // One event loop for clients, backend servers, the store and other fronts.
 class FrontDaemon {
  public:
+  static constexpr int kStandardOutput = 1;
+
   // The settings file is read again on SIGHUP and when it changes.
   FrontDaemon(EventLoop& loop, const FrontSettings& settings,
-              std::string settings_file, const OutsideProtocol& protocol);
+              std::string settings_file, const OutsideProtocol& protocol,
+              int log_descriptor = kStandardOutput);
   ~FrontDaemon();
 
   // Returns why it can't start; nothing if it listens.
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -32,7 +32,6 @@
 constexpr absl::Duration kRetryAfterQuarantine = absl::Seconds(4);
 constexpr absl::Duration kPeerCopyInterval = absl::Milliseconds(300);
 constexpr absl::Duration kPeerCopyTimeout = absl::Milliseconds(500);
-constexpr char kCopyPath[] = "/copy";
 constexpr size_t kMaxCopyBytes = size_t{8} << 20;
 
 std::string ReadText(const std::string& file) {
@@ -58,11 +57,11 @@
 
 FrontDaemon::FrontDaemon(EventLoop& loop, const FrontSettings& settings,
                          std::string settings_file,
-                         const OutsideProtocol& protocol)
+                         const OutsideProtocol& protocol, int log_descriptor)
     : loop_(loop),
       settings_file_(std::move(settings_file)),
       settings_text_(ReadText(settings_file_)),
-      context_(loop_, protocol, settings),
+      context_(loop_, protocol, settings, log_descriptor),
       clients_(loop_, {[this](ExchangeId id, const Endpoint& client,
                               HttpRequest request) {
                          OnRequest(id, client, std::move(request));
@@ -139,6 +138,7 @@
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
   };
+  context_.store_age = [this] { return loop_.Now() - store_.last_answer(); };
   context_.engine_traits = [this](const ServiceName& service) {
     return table_.FindEngine(service);
   };
@@ -403,7 +403,7 @@
   peer_copy_.clear();
   HttpRequest request;
   request.head.method = "GET";
-  request.head.target = kCopyPath;
+  request.head.target = kPeerCopyPath;
   request.head.fields = {{"Host", "front"}};
   peer_copy_call_ = context_.client.Start(
       peers_.ControlOf(*newest_peer_), request, CallOptions(),
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -9,7 +9,6 @@
 namespace chervilwick {
 namespace {
 
-constexpr char kCopyPath[] = "/copy";
 constexpr char kMetricsPath[] = "/metrics";
 constexpr char kStatusPath[] = "/status";
 
@@ -148,7 +147,7 @@
     server.Respond(id, {200, {{"Content-Type", "text/plain"}}, Metrics()});
   } else if (target == kStatusPath) {
     server.Respond(id, {200, {{"Content-Type", "application/json"}}, Status()});
-  } else if (target == kCopyPath && &server == &control_) {
+  } else if (target == kPeerCopyPath && &server == &control_) {
     server.Respond(id, {200,
                         {{"Content-Type", "application/octet-stream"}},
                         store_.Snapshot()});
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -89,7 +89,8 @@
                        {"backend", attempt.backend.value()},
                        {"send", sends_},
                        {"in_flight", backend->Total().requests},
-                       {"slowness", backend->time_percent}});
+                       {"slowness", backend->time_percent},
+                       {"list_age_ms", context().store_age()}});
 }
 
 void PlainRelay::OnEvent(uint32_t number, CallEvent event) {
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -20,11 +20,12 @@
 
 FrontContext::FrontContext(EventLoop& event_loop,
                            const OutsideProtocol& outside,
-                           const FrontSettings& front_settings)
+                           const FrontSettings& front_settings,
+                           int log_descriptor)
     : loop(event_loop),
       protocol(outside),
       settings(front_settings),
-      log(1, front_settings.name),
+      log(log_descriptor, front_settings.name),
       client(event_loop, front_settings.contact_limit),
       scheduler(backends, ZoneName(front_settings.zone),
                 StreamSchedulerOptions()),
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -139,6 +139,7 @@
        {"tokens", placement.memory_tokens},
        {"engine_tokens",
         decode == nullptr ? int64_t{0} : decode->Total().memory_tokens},
+       {"list_age_ms", context().store_age()},
        {"waited_ms", placement.waited},
        {"prefill_ms", placement.prefill_estimate}});
   if (placement.prefill) {
--- a/tools/chervilwick-ctl/commands.cc
+++ b/tools/chervilwick-ctl/commands.cc
@@ -143,6 +143,17 @@
   return kExitOk;
 }
 
+int ShowFront(AdminClient& client, const std::string& address) {
+  std::optional<AdminAnswer> answer = client.GetFrom(address, "/status");
+  if (!answer || answer->http_status != 200) {
+    std::fprintf(stderr, "%s: no answer from a front there (%s)\n",
+                 address.c_str(), client.last_error().c_str());
+    return kExitUnreachable;
+  }
+  std::printf("%s\n", answer->body.dump(2).c_str());
+  return kExitOk;
+}
+
 int ShowConfig(AdminClient& client, const std::string& number) {
   std::optional<json> content = FetchContent(client, number);
   if (!content) return Unreachable(client);
--- a/tools/chervilwick-ctl/commands.h
+++ b/tools/chervilwick-ctl/commands.h
@@ -42,6 +42,8 @@
 };
 
 int ShowStatus(AdminClient& client);
+// State of a front, by its control address.
+int ShowFront(AdminClient& client, const std::string& address);
 int ShowConfig(AdminClient& client, const std::string& number);
 int ShowDiff(AdminClient& client, const std::string& from,
              const std::string& to);
--- a/tools/chervilwick-ctl/main.cc
+++ b/tools/chervilwick-ctl/main.cc
@@ -3,6 +3,10 @@
 #include <gflags/gflags.h>
 
 #include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -10,6 +14,7 @@
 #include "absl/strings/str_split.h"
 #include "chervilwick/settings/settings.h"
 #include "chervilwick/support/version.h"
+#include "chervilwick/telemetry/request_story.h"
 #include "commands.h"
 
 DEFINE_string(entries, "127.0.0.1:8080",
@@ -43,7 +48,10 @@
     "  retreat --to=N|NAME           go back to a known-good version, at once\n"
     "  return --to=N|NAME            go forward again in steps behind a gate\n"
     "  drain SERVER | undrain SERVER stop or resume new work at a server\n"
-    "  check entry|agent FILE        check a settings file\n"
+    "  check entry|agent|front FILE  check a settings file\n"
+    "  front ADDRESS                 state of a front, by its control address\n"
+    "  explain ID [FILE...]          what fronts' logs tell of a request;\n"
+    "                                from standard input without files\n"
     "Exit codes: 0 done, 1 not accepted, 2 usage, 3 outcome unknown, 4 no "
     "entry\n"
     "answered, 5 a return was stopped by its gate.";
@@ -80,8 +88,14 @@
 
 int CheckFile(const std::string& kind, const std::string& file) {
   SettingsError error;
-  bool ok = kind == "entry" ? LoadEntrySettings(file, error).has_value()
-                            : LoadAgentSettings(file, error).has_value();
+  bool ok = false;
+  if (kind == "entry") {
+    ok = LoadEntrySettings(file, error).has_value();
+  } else if (kind == "front") {
+    ok = LoadFrontSettings(file, error).has_value();
+  } else {
+    ok = LoadAgentSettings(file, error).has_value();
+  }
   std::printf("%s\n", ok ? (file + ": ok").c_str() : error.text.c_str());
   return ok ? kExitOk : kExitUsage;
 }
@@ -109,12 +123,34 @@
   return Usage("unknown config command");
 }
 
+int Explain(const std::vector<std::string>& words) {
+  std::stringstream logs;
+  if (words.size() == 2) logs << std::cin.rdbuf();
+  for (size_t it = 2; it < words.size(); ++it) {
+    std::ifstream file(words[it]);
+    if (!file) return Usage(words[it] + ": can't be read");
+    logs << file.rdbuf() << '\n';
+  }
+  std::optional<RequestStory> story = ReadStory(logs, words[1]);
+  if (!story) {
+    std::fprintf(stderr,
+                 "no line tells of %s: look in the logs of all fronts of its "
+                 "time\n",
+                 words[1].c_str());
+    return kExitNotAccepted;
+  }
+  std::printf("%s", FormatStory(*story).c_str());
+  return kExitOk;
+}
+
 int RunCommand(const std::vector<std::string>& words) {
   AdminClient client(absl::StrSplit(FLAGS_entries, ','));
   const std::string& verb = words[0];
   size_t n = words.size();
   if (verb == "status" && n == 1) return ShowStatus(client);
   if (verb == "config") return RunConfig(client, words);
+  if (verb == "explain" && n >= 2) return Explain(words);
+  if (verb == "front" && n == 2) return ShowFront(client, words[1]);
   if (verb == "check" && n == 3) return CheckFile(words[1], words[2]);
   bool changes = verb == "retreat" || verb == "return" || verb == "drain" ||
                  verb == "undrain";
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -1,14 +1,18 @@
 // A front against stand-ins of the platform, over loopback.
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "chervilwick/front/front_daemon.h"
 #include "chervilwick/support/overloaded.h"
+#include "chervilwick/telemetry/request_story.h"
 #include "platform/protocol.h"
 #include "platform_standin.h"
 #include "raw_peer.h"
@@ -81,7 +85,9 @@
   }
 
   void Start() {
-    front = std::make_unique<FrontDaemon>(loop, settings, "", protocol);
+    log = std::tmpfile();
+    front = std::make_unique<FrontDaemon>(loop, settings, "", protocol,
+                                          fileno(log));
     REQUIRE_FALSE(front->Start().has_value());
     loop.RunFor(absl::Milliseconds(150));
   }
@@ -139,6 +145,20 @@
     return *answer;
   }
 
+  // What the log tells of a request.
+  RequestStory Story(const std::string& id) {
+    loop.RunFor(absl::Milliseconds(250));
+    std::rewind(log);
+    std::stringstream text;
+    std::array<char, 4096> buf;
+    while (size_t n = std::fread(buf.data(), 1, buf.size(), log)) {
+      text.write(buf.data(), static_cast<std::streamsize>(n));
+    }
+    std::optional<RequestStory> story = ReadStory(text, id);
+    REQUIRE(story.has_value());
+    return *story;
+  }
+
   size_t Runs(const std::string& id) const {
     return engines.at(id)->runs().size();
   }
@@ -156,8 +176,18 @@
   std::unique_ptr<FrontDaemon> front;
   CallId last_call;
   int last_id = 0;
+  std::FILE* log = nullptr;
 };
 
+// Events of the request itself, in order.
+std::string EventsOf(const RequestStory& story) {
+  std::string out;
+  for (const StoryLine& it : story.lines) {
+    if (!it.is_context) absl::StrAppend(&out, it.event, " ");
+  }
+  return out;
+}
+
 std::string Events(int from, int to) {
   std::string out;
   for (int it = from; it <= to; ++it) {
@@ -451,6 +481,45 @@
   CHECK(it.store.Has("duty/stages"));
 }
 
+// The three kinds of failure of docs/OPERATIONS.md.
+TEST_CASE("the log explains a stream that was cut", "[front][operations]") {
+  Deployment it;
+  it.Start();
+  it.SetFaults({"d1", "d2"}, Fault::kBreakMidway);
+  it.Get("POST", "/note/x");
+  RequestStory story = it.Story("id1");
+  CHECK(EventsOf(story) == "placed streaming decode_broke_off request_done ");
+  CHECK(story.outcome == "cut");
+  CHECK(story.reason == "backend_broke_off");
+}
+
+TEST_CASE("the log explains a booking with an unknown outcome",
+          "[front][operations]") {
+  Deployment it;
+  it.Start();
+  it.SetFaults({"s1", "s2"}, Fault::kLoseAnswer);
+  it.Get("POST", "/book/x");
+  RequestStory story = it.Story("id1");
+  CHECK(EventsOf(story) == "sent broke_off request_done ");
+  CHECK(story.outcome == "failed");
+  CHECK(story.reason == "backend_broke_off");
+}
+
+TEST_CASE("the log explains a refusal in a surge", "[front][operations]") {
+  Deployment it;
+  it.Start();
+  std::vector<std::shared_ptr<Answer>> answers;
+  for (int n = 0; n < 60; ++n) answers.push_back(it.Ask("POST", "/note/x"));
+  it.loop.RunFor(absl::Milliseconds(400));
+  size_t refused = 0;
+  while (refused < answers.size() && answers[refused]->status != 503) ++refused;
+  REQUIRE(refused < answers.size());
+  RequestStory story = it.Story(absl::StrCat("id", refused + 1));
+  CHECK(story.outcome == "refused");
+  CHECK(story.reason == "queue_too_long");
+  CHECK(story.lines.back().fields.find("version=1") != std::string::npos);
+}
+
 TEST_CASE("metrics and status are served", "[front]") {
   Deployment it;
   it.Start();
--- a/unittests/settings/settings_test.cc
+++ b/unittests/settings/settings_test.cc
@@ -76,7 +76,8 @@
   text << file.rdbuf();
   std::string page = text.str();
   REQUIRE_FALSE(page.empty());
-  for (const auto& keys : {EntrySettingsKeys(), AgentSettingsKeys()}) {
+  for (const auto& keys :
+       {EntrySettingsKeys(), AgentSettingsKeys(), FrontSettingsKeys()}) {
     for (const SettingsKey& it : keys) {
       INFO(it.key);
       CHECK(page.find("| `" + it.key + "` | " + it.allowed) !=
