--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kFailureHalfLife = absl::Seconds(4);
 // A full engine frees a place about that often.
 constexpr absl::Duration kFullPause = absl::Milliseconds(60);
+// Requests, the refused one included, beside which a server is idle.
+constexpr int64_t kIdleRequests = 2;
 constexpr absl::Duration kLongestFullPause = absl::Seconds(1);
 
 }  // namespace
@@ -172,6 +174,9 @@
   for (int it = 0; it < backend->refusals_in_a_row; ++it) {
     pause = std::min(2 * pause, kLongestFullPause);
   }
+  // Refusing while next to nothing runs there is not being full: the server
+  // changes its stage, or is unwell.
+  if (backend->Total().requests <= kIdleRequests) pause = kLongestFullPause;
   ++backend->refusals_in_a_row;
   backend->full_until = now + pause;
 }
--- a/unittests/dispatch/placement_test.cc
+++ b/unittests/dispatch/placement_test.cc
@@ -99,6 +99,23 @@
   CHECK(Chosen(table) == "bad");
 }
 
+TEST_CASE("an idle server that refuses is left alone for longer than a full one",
+          "[dispatch]") {
+  BackendTable table;
+  table.Upsert(Record("idle"));
+  table.Upsert(Record("full"));
+  table.SetPeerUse("f2", {{BackendName("full"), {9, 0, 0}}});
+  table.ReportFull(BackendName("idle"), kStart);
+  table.ReportFull(BackendName("full"), kStart);
+  absl::Time soon = kStart + absl::Milliseconds(200);
+  CHECK(table.Find(BackendName("idle"))->full_until > soon);
+  CHECK(table.Find(BackendName("full"))->full_until < soon);
+  for (int it = 0; it < 9; ++it) table.ReportFull(BackendName("full"), kStart);
+  CHECK(table.Find(BackendName("full"))->full_until > soon);
+  CHECK(table.Find(BackendName("full"))->full_until <=
+        kStart + absl::Seconds(1));
+}
+
 TEST_CASE("what the other fronts use counts", "[dispatch]") {
   BackendTable table;
   table.Upsert(Record("s1"));
