Queue streams by priority; remove what no path uses

Waiting streams go by priority, then by due time. Holds, connection limits and unused fields are gone; the drain limit of the settings now bounds how long lapsed entries count.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -45,7 +45,6 @@
   int refusals_in_a_row = 0;
   // No requests until then: its stage is being changed.
   absl::Time changing_until = absl::InfinitePast();
-  absl::Time last_heard = absl::InfinitePast();
   // Discovery's word of its removal is not believed until then.
   std::optional<absl::Time> lapses_at;
 
@@ -84,7 +83,7 @@
   // The server answered with a failure of its own.
   void ReportError(const BackendName& id, absl::Time now);
   // Bytes of a request that goes on came from it.
-  void ReportAlive(const BackendName& id, absl::Time now);
+  void ReportAlive(const BackendName& id);
   // A request ended well there.
   void ReportSuccess(const BackendName& id, absl::Time now);
   // It refused a request. The pause doubles with each refusal in a row.
--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -57,13 +57,11 @@
   uint32_t slots = 1;
   uint64_t memory_tokens = 0;
   absl::Duration handle_lifetime = absl::Milliseconds(500);
-  absl::Duration max_hold = absl::Seconds(2);
   // How long a change of stage takes.
   absl::Duration change_time = absl::Seconds(6);
 };
 
 struct ServiceTraits {
-  uint32_t max_connections = 64;
   std::optional<EngineTraits> engine;  // services of model engines
 };
 
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -24,6 +24,7 @@
 struct StreamJob {
   ExchangeId id;
   ServiceName service;
+  int priority = 0;  // 0 is the most urgent
   absl::Time arrived;
   absl::Time first_event_due;  // the objective, counted from its arrival
   absl::Time give_up_at;       // the client won't wait longer for an event
@@ -142,8 +143,8 @@
   BackendTable& backends_;
   ZoneName zone_;
   StreamSchedulerOptions options_;
-  std::deque<StreamJob> on_time_;  // by due time
-  std::deque<StreamJob> late_;     // by arrival
+  std::deque<StreamJob> on_time_;  // by priority and due time
+  std::deque<StreamJob> late_;     // by priority and arrival
   size_t peers_waiting_ = 0;
   double prompt_tokens_per_ms_;
   double stream_seconds_;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -57,7 +57,6 @@
   absl::Duration remaining;
   bool prefill_only = false;
   std::optional<KvSource> kv_source;
-  std::optional<std::string> hold;       // reserved place
   std::optional<uint64_t> resume_after;  // id of the last event delivered
 };
 
@@ -107,10 +106,6 @@
   virtual HttpField RetryAfter(absl::Duration delay) const = 0;
   virtual absl::string_view ReadinessPath() const = 0;
 
-  virtual HttpRequest TakeHold(const BackendName& expected, uint64_t tokens,
-                               absl::Duration lifetime) const = 0;
-  virtual std::optional<std::string> ReadHold(absl::string_view body) const = 0;
-  virtual HttpRequest DropHold(const std::string& hold) const = 0;
   // Handle of a prompt that has been read, from the answer's body.
   virtual std::optional<std::string> ReadHandle(
       absl::string_view body) const = 0;
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -151,12 +151,11 @@
   if (backend != nullptr) backend->NoteOutcome(/*failed=*/true, now);
 }
 
-void BackendTable::ReportAlive(const BackendName& id, absl::Time now) {
+void BackendTable::ReportAlive(const BackendName& id) {
   Backend* backend = Find(id);
   if (backend == nullptr) return;
   backend->failures_in_a_row = 0;
   backend->suspect_until = absl::InfinitePast();
-  backend->last_heard = now;
 }
 
 void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
@@ -164,7 +163,7 @@
   if (backend == nullptr) return;
   backend->NoteOutcome(/*failed=*/false, now);
   backend->refusals_in_a_row = 0;
-  ReportAlive(id, now);
+  ReportAlive(id);
 }
 
 void BackendTable::ReportFull(const BackendName& id, absl::Time now) {
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -40,6 +40,17 @@
   use.prompt_tokens = std::max<int64_t>(use.prompt_tokens, 0);
 }
 
+// Keeps a queue in order of priority, and of a time within it.
+void InsertByPriority(std::deque<StreamJob>& queue, StreamJob job,
+                      absl::Time StreamJob::*time) {
+  auto is_before = [time](const StreamJob& a, const StreamJob& b) {
+    return a.priority != b.priority ? a.priority < b.priority
+                                    : a.*time < b.*time;
+  };
+  auto at = std::upper_bound(queue.begin(), queue.end(), job, is_before);
+  queue.insert(at, std::move(job));
+}
+
 }  // namespace
 
 StreamScheduler::StreamScheduler(BackendTable& backends, ZoneName zone,
@@ -117,18 +128,14 @@
   absl::Duration wait = ExpectedWait(job, ahead, now);
   absl::Time first_event = now + wait + ServiceTime(job);
   if (first_event <= job.first_event_due) {
-    auto it = std::upper_bound(on_time_.begin(), on_time_.end(), job,
-                               [](const StreamJob& a, const StreamJob& b) {
-                                 return a.first_event_due < b.first_event_due;
-                               });
-    on_time_.insert(it, std::move(job));
+    InsertByPriority(on_time_, std::move(job), &StreamJob::first_event_due);
     return std::nullopt;
   }
   absl::Duration late_wait = ExpectedWait(job, ahead + late_.size(), now);
   if (now + late_wait + ServiceTime(job) > job.give_up_at) {
     return Refuse(job, StreamRefusalReason::kQueueTooLong, late_wait);
   }
-  late_.push_back(std::move(job));
+  InsertByPriority(late_, std::move(job), &StreamJob::arrived);
   return std::nullopt;
 }
 
@@ -165,11 +172,13 @@
 }
 
 void StreamScheduler::DemoteLate(absl::Time now) {
-  while (!on_time_.empty()) {
-    StreamJob& first = on_time_.front();
-    if (now + ServiceTime(first) <= first.first_event_due) return;
-    late_.push_back(std::move(first));
-    on_time_.pop_front();
+  for (auto it = on_time_.begin(); it != on_time_.end();) {
+    if (now + ServiceTime(*it) <= it->first_event_due) {
+      ++it;
+      continue;
+    }
+    InsertByPriority(late_, std::move(*it), &StreamJob::arrived);
+    it = on_time_.erase(it);
   }
 }
 
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -20,9 +20,9 @@
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(400);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(60);
 constexpr absl::Duration kLongestBackoff = absl::Milliseconds(700);
-// Entries that lapsed in an outage are written again within 2 s of its end;
-// drained servers must be out by then too.
-constexpr absl::Duration kSettleTime = absl::Milliseconds(1800);
+// Part of the drain limit for which entries that lapsed in an outage still
+// count: living servers write theirs again within it, drained ones must be out.
+constexpr double kSettleShare = 0.9;
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
@@ -112,7 +112,7 @@
 void StoreSync::Regained() {
   last_answer_ = context_.loop.Now();
   if (had_outage_) {
-    settled_at_ = last_answer_ + kSettleTime;
+    settled_at_ = last_answer_ + context_.settings.drain_limit * kSettleShare;
     had_outage_ = false;
     listener_.on_reachable(true, "answers again");
   }
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -89,6 +89,7 @@
     job.first_event_due = Now() + admitted().route.pause_objective;
     job.give_up_at = Now() + (ClientPatienceEnd() - admitted().arrived);
   }
+  job.priority = admitted().route.priority;
   job.prompt_tokens = admitted().facts.prompt_tokens;
   uint32_t most = admitted().facts.max_output_tokens;
   job.output_tokens =
@@ -310,7 +311,7 @@
 void StreamRelay::OnDecodeBytes(absl::string_view bytes) {
   silence_.Arm(kSilenceNoted);
   silent_once_ = false;
-  context().backends.ReportAlive(placement_->decode, Now());
+  context().backends.ReportAlive(placement_->decode);
   AnswerFacts facts = context().protocol.ReadAnswer(head_);
   if (!IsSuccess(head_.status) || !facts.is_engines_own) {
     absl::StrAppend(&body_, bytes);
--- a/unittests/dispatch/stream_scheduler_test.cc
+++ b/unittests/dispatch/stream_scheduler_test.cc
@@ -29,7 +29,7 @@
     }
     ServiceTraits traits;
     traits.engine =
-        EngineTraits{64, kMemory, absl::Milliseconds(500), absl::Seconds(2)};
+        EngineTraits{64, kMemory, absl::Milliseconds(500), absl::Seconds(6)};
     scheduler.SetEngineTraits({{kService, traits}});
   }
 
@@ -137,6 +137,20 @@
   CHECK(placed[0].id == ExchangeId(2));
 }
 
+TEST_CASE("a more urgent route goes first", "[dispatch]") {
+  Fleet fleet(4, 1);
+  fleet.table.SetPeerUse("f2", {{BackendName("d0"), {9, 38000, 0}}});
+  StreamJob usual = Fleet::Job(1, kStart);
+  usual.priority = 1;
+  CHECK_FALSE(fleet.scheduler.Submit(usual, kStart));
+  StreamJob urgent = Fleet::Job(2, kStart + absl::Milliseconds(5));
+  CHECK_FALSE(fleet.scheduler.Submit(urgent, urgent.arrived));
+  fleet.table.SetPeerUse("f2", {{BackendName("d0"), {8, 33000, 0}}});
+  auto placed = fleet.Placements(kStart + absl::Milliseconds(10));
+  REQUIRE(placed.size() == 1);
+  CHECK(placed[0].id == ExchangeId(2));
+}
+
 TEST_CASE("a large prompt is not overtaken for ever", "[dispatch]") {
   Fleet fleet(4, 1);
   fleet.table.SetPeerUse("f2", {{BackendName("d0"), {9, 34000, 0}}});
