--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -31,7 +31,7 @@
   }
 };
 
-struct Backend {
+struct BackendState {
   BackendRecord record;
   BackendUse own;    // by this front
   BackendUse peers;  // by the other fronts, as they last said
@@ -72,11 +72,12 @@
   // Removes those whose time has come, and returns them.
   std::vector<BackendName> ExpireLapsed(absl::Time now);
 
-  Backend* Find(const BackendName& id);
-  const Backend* Find(const BackendName& id) const;
+  BackendState* Find(const BackendName& id);
+  const BackendState* Find(const BackendName& id) const;
   // Those of a service that may get new requests, trusted ones only unless
   // there is none.
-  std::vector<Backend*> Candidates(const ServiceName& service, absl::Time now);
+  std::vector<BackendState*> Candidates(const ServiceName& service,
+                                        absl::Time now);
 
   // A request broke off or got no answer there. Distrust doubles each time.
   void ReportFailure(const BackendName& id, absl::Time now);
@@ -98,12 +99,12 @@
                   const std::map<BackendName, BackendUse>& use);
   std::map<BackendName, BackendUse> OwnUse() const;
 
-  const std::map<BackendName, Backend>& all() const { return backends_; }
+  const std::map<BackendName, BackendState>& all() const { return backends_; }
 
  private:
   void AddPeers(const std::map<BackendName, BackendUse>& use, bool add);
 
-  std::map<BackendName, Backend> backends_;
+  std::map<BackendName, BackendState> backends_;
   std::map<std::string, std::map<BackendName, BackendUse>> peer_use_;
 };
 
--- a/include/chervilwick/dispatch/call_balancer.h
+++ b/include/chervilwick/dispatch/call_balancer.h
@@ -15,9 +15,10 @@
 // availability zone only if it has clearly less. Null if all are excluded.
 // Answers the steady load and the short bursts of plain calls, whose service
 // times are too short for reports to follow.
-Backend* ChooseForCall(BackendTable& backends, const ServiceName& service,
-                       const ZoneName& zone,
-                       const std::set<BackendName>& excluded, absl::Time now);
+BackendState* ChooseForCall(BackendTable& backends, const ServiceName& service,
+                            const ZoneName& zone,
+                            const std::set<BackendName>& excluded,
+                            absl::Time now);
 
 }  // namespace chervilwick
 
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -127,9 +127,9 @@
   void RefuseHopeless(absl::Time now, std::vector<StreamDecision>& out);
   std::optional<StreamPlacement> Place(const StreamJob& job, Class which,
                                        absl::Time now);
-  Backend* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
-  Backend* ChoosePrefill(const StreamJob& job, const ZoneName& near,
-                         absl::Time now);
+  BackendState* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
+  BackendState* ChoosePrefill(const StreamJob& job, const ZoneName& near,
+                              absl::Time now);
   absl::Duration PromptTime(int64_t tokens) const;
   absl::Duration ServiceTime(const StreamJob& job) const;
   // Places that free up in a second, over all engines of a service.
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -39,7 +39,7 @@
   // Age of the list of backend servers and of the configuration.
   std::function<absl::Duration()> store_age;
   // Set by the daemon once it listens.
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   // Asks for another round of scheduling soon.
   std::function<void()> wake_scheduler;
   // The route by that name in the version in force; null if it is gone.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -47,7 +47,7 @@
   void Admit(AdmittedRequest admitted);
   void Reject(ExchangeId id, const RequestFacts& facts, int status,
               absl::string_view reason);
-  void OnControlRequest(HttpServer& server, ExchangeId id,
+  void OnControlRequest(EventHttpServer& server, ExchangeId id,
                         const HttpRequest& request);
   void OnTable(const RouteTable& table);
   void OnBackend(const BackendRecord& record);
@@ -67,10 +67,10 @@
   std::string settings_file_;
   std::string settings_text_;
   FrontContext context_;
-  HttpServer clients_;
-  HttpServer ready_;
-  HttpServer control_;
-  HttpServer metrics_;
+  EventHttpServer clients_;
+  EventHttpServer ready_;
+  EventHttpServer control_;
+  EventHttpServer metrics_;
   StoreSync store_;
   PeerLink peers_;
   StageKeeper stages_;
--- a/include/chervilwick/net/http_server.h
+++ b/include/chervilwick/net/http_server.h
@@ -41,7 +41,7 @@
 // Serves one request at a time on each connection; what a client sends ahead
 // waits in a bounded buffer. An exchange that has gone (client closed, answer
 // complete) ignores further calls.
-class HttpServer {
+class EventHttpServer {
  public:
   struct Handlers {
     // A whole request has been read.
@@ -50,8 +50,8 @@
     std::function<void(ExchangeId)> on_client_gone;
   };
 
-  HttpServer(EventLoop& loop, Handlers handlers);
-  ~HttpServer();
+  EventHttpServer(EventLoop& loop, Handlers handlers);
+  ~EventHttpServer();
 
   // False with errno if the address can't be had.
   bool Listen(const Endpoint& endpoint);
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -39,19 +39,19 @@
   return *this;
 }
 
-BackendUse Backend::Total() const {
+BackendUse BackendState::Total() const {
   BackendUse total = own;
   total += peers;
   return total;
 }
 
-double Backend::FailureRate(absl::Time now) const {
+double BackendState::FailureRate(absl::Time now) const {
   if (failure_rate == 0) return 0;
   return failure_rate * std::exp2(-absl::FDivDuration(now - failure_rate_at,
                                                       kFailureHalfLife));
 }
 
-void Backend::NoteOutcome(bool failed, absl::Time now) {
+void BackendState::NoteOutcome(bool failed, absl::Time now) {
   double rate = FailureRate(now);
   failure_rate = rate + kFailureWeight * ((failed ? 1 : 0) - rate);
   failure_rate_at = now;
@@ -59,7 +59,7 @@
 
 BackendChange BackendTable::Upsert(const BackendRecord& record) {
   auto [it, is_new] = backends_.try_emplace(record.id);
-  Backend& backend = it->second;
+  BackendState& backend = it->second;
   if (is_new) {
     backend.record = record;
     for (const auto& peer : peer_use_) {
@@ -79,7 +79,7 @@
   bool restarted = record.born_unix_ms > backend.record.born_unix_ms ||
                    record.endpoint != backend.record.endpoint;
   if (restarted) {
-    Backend fresh;
+    BackendState fresh;
     // Their ends will still be counted.
     fresh.own = backend.own;
     fresh.peers = backend.peers;
@@ -94,7 +94,7 @@
 }
 
 void BackendTable::RemoveLater(const BackendName& id, absl::Time at) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend != nullptr && !backend->lapses_at) backend->lapses_at = at;
 }
 
@@ -109,22 +109,22 @@
   return expired;
 }
 
-Backend* BackendTable::Find(const BackendName& id) {
+BackendState* BackendTable::Find(const BackendName& id) {
   auto it = backends_.find(id);
   return it == backends_.end() ? nullptr : &it->second;
 }
 
-const Backend* BackendTable::Find(const BackendName& id) const {
+const BackendState* BackendTable::Find(const BackendName& id) const {
   auto it = backends_.find(id);
   return it == backends_.end() ? nullptr : &it->second;
 }
 
-std::vector<Backend*> BackendTable::Candidates(const ServiceName& service,
-                                               absl::Time now) {
-  std::vector<Backend*> trusted;
-  std::vector<Backend*> suspects;
+std::vector<BackendState*> BackendTable::Candidates(const ServiceName& service,
+                                                    absl::Time now) {
+  std::vector<BackendState*> trusted;
+  std::vector<BackendState*> suspects;
   for (auto& it : backends_) {
-    Backend& backend = it.second;
+    BackendState& backend = it.second;
     if (backend.record.service != service || backend.record.draining) continue;
     if (backend.changing_until > now) continue;
     (backend.suspect_until > now ? suspects : trusted).push_back(&backend);
@@ -133,7 +133,7 @@
 }
 
 void BackendTable::ReportFailure(const BackendName& id, absl::Time now) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend == nullptr) return;
   backend->NoteOutcome(/*failed=*/true, now);
   ++backend->failures_in_a_row;
@@ -147,19 +147,19 @@
 }
 
 void BackendTable::ReportError(const BackendName& id, absl::Time now) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend != nullptr) backend->NoteOutcome(/*failed=*/true, now);
 }
 
 void BackendTable::ReportAlive(const BackendName& id) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend == nullptr) return;
   backend->failures_in_a_row = 0;
   backend->suspect_until = absl::InfinitePast();
 }
 
 void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend == nullptr) return;
   backend->NoteOutcome(/*failed=*/false, now);
   backend->refusals_in_a_row = 0;
@@ -167,7 +167,7 @@
 }
 
 void BackendTable::ReportFull(const BackendName& id, absl::Time now) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend == nullptr) return;
   absl::Duration pause = kFullPause;
   for (int it = 0; it < backend->refusals_in_a_row; ++it) {
@@ -181,7 +181,7 @@
 }
 
 void BackendTable::SetChanging(const BackendName& id, absl::Time until) {
-  Backend* backend = Find(id);
+  BackendState* backend = Find(id);
   if (backend == nullptr) return;
   backend->changing_until = std::max(backend->changing_until, until);
 }
@@ -199,7 +199,7 @@
 void BackendTable::AddPeers(const std::map<BackendName, BackendUse>& use,
                             bool add) {
   for (const auto& it : use) {
-    Backend* backend = Find(it.first);
+    BackendState* backend = Find(it.first);
     if (backend == nullptr) continue;
     if (add) {
       backend->peers += it.second;
--- a/lib/dispatch/call_balancer.cc
+++ b/lib/dispatch/call_balancer.cc
@@ -17,12 +17,13 @@
 
 }  // namespace
 
-Backend* ChooseForCall(BackendTable& backends, const ServiceName& service,
-                       const ZoneName& zone,
-                       const std::set<BackendName>& excluded, absl::Time now) {
-  Backend* best = nullptr;
+BackendState* ChooseForCall(BackendTable& backends, const ServiceName& service,
+                            const ZoneName& zone,
+                            const std::set<BackendName>& excluded,
+                            absl::Time now) {
+  BackendState* best = nullptr;
   double least = std::numeric_limits<double>::infinity();
-  for (Backend* it : backends.Candidates(service, now)) {
+  for (BackendState* it : backends.Candidates(service, now)) {
     if (excluded.count(it->record.id) != 0) continue;
     double ahead = static_cast<double>(it->Total().requests + 1);
     double load = ahead / it->record.slots * it->time_percent / kUsualPercent;
--- a/lib/dispatch/stage_plan.cc
+++ b/lib/dispatch/stage_plan.cc
@@ -21,7 +21,7 @@
 std::optional<StageChange> PlanStage(const BackendTable& backends,
                                      const ServiceName& service,
                                      const StageDemand& demand) {
-  std::vector<const Backend*> prefill;
+  std::vector<const BackendState*> prefill;
   size_t total = 0;
   std::map<ZoneName, size_t> by_zone;
   for (const auto& it : backends.all()) {
@@ -41,8 +41,8 @@
       std::max(1.0, std::ceil(share * static_cast<double>(total))));
   if (prefill.size() <= wanted) return std::nullopt;
   // From the zone that has most of them, so that each zone keeps some.
-  const Backend* best = nullptr;
-  for (const Backend* it : prefill) {
+  const BackendState* best = nullptr;
+  for (const BackendState* it : prefill) {
     bool better = best == nullptr ||
                   by_zone[it->record.zone] > by_zone[best->record.zone];
     if (better) best = it;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -83,7 +83,7 @@
 double StreamScheduler::PlacesPerSecond(const ServiceName& service,
                                         absl::Time now) {
   double memory = 0;
-  for (Backend* it : backends_.Candidates(service, now)) {
+  for (BackendState* it : backends_.Candidates(service, now)) {
     if (it->record.stage == EngineStage::kPrefill) continue;
     auto traits = engines_.find(service);
     memory += static_cast<double>(traits == engines_.end()
@@ -198,7 +198,7 @@
 std::optional<StreamPlacement> StreamScheduler::Place(const StreamJob& job,
                                                       Class which,
                                                       absl::Time now) {
-  Backend* decode = ChooseDecode(job, which, now);
+  BackendState* decode = ChooseDecode(job, which, now);
   if (decode == nullptr) return std::nullopt;
   StreamPlacement placement;
   placement.id = job.id;
@@ -206,7 +206,7 @@
   placement.memory_tokens = MemoryNeed(job);
   placement.waited = now - job.arrived;
   if (!job.has_prompt && decode->record.stage == EngineStage::kDecode) {
-    Backend* prefill = ChoosePrefill(job, decode->record.zone, now);
+    BackendState* prefill = ChoosePrefill(job, decode->record.zone, now);
     if (prefill == nullptr) return std::nullopt;
     if (prefill->record.stage == EngineStage::kPrefill) {
       placement.prefill = prefill->record.id;
@@ -222,16 +222,16 @@
   return placement;
 }
 
-Backend* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
-                                       absl::Time now) {
+BackendState* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
+                                            absl::Time now) {
   double fill = which == Class::kOnTime ? options_.memory_fill
                                         : options_.late_memory_fill;
   auto traits = engines_.find(job.service);
   uint64_t memory = traits == engines_.end() ? kDefaultMemoryTokens
                                              : traits->second.memory_tokens;
-  Backend* best = nullptr;
+  BackendState* best = nullptr;
   double least = std::numeric_limits<double>::infinity();
-  for (Backend* it : backends_.Candidates(job.service, now)) {
+  for (BackendState* it : backends_.Candidates(job.service, now)) {
     if (it->record.stage == EngineStage::kPrefill) continue;
     if (job.excluded.count(it->record.id) != 0) continue;
     if (it->full_until > now) continue;
@@ -251,12 +251,13 @@
   return best;
 }
 
-Backend* StreamScheduler::ChoosePrefill(const StreamJob& job,
-                                        const ZoneName& near, absl::Time now) {
-  Backend* best = nullptr;
+BackendState* StreamScheduler::ChoosePrefill(const StreamJob& job,
+                                             const ZoneName& near,
+                                             absl::Time now) {
+  BackendState* best = nullptr;
   absl::Duration least = absl::InfiniteDuration();
   bool any = false;
-  for (Backend* it : backends_.Candidates(job.service, now)) {
+  for (BackendState* it : backends_.Candidates(job.service, now)) {
     if (it->record.stage != EngineStage::kPrefill) continue;
     any = true;
     if (job.excluded.count(it->record.id) != 0) continue;
@@ -280,14 +281,14 @@
 
 void StreamScheduler::ReleasePrompt(const StreamPlacement& placement) {
   bool reads_itself = !placement.prefill.has_value();
-  Backend* reader =
+  BackendState* reader =
       backends_.Find(reads_itself ? placement.decode : *placement.prefill);
   if (reader == nullptr) return;
   GiveBack(reader->own, {reads_itself ? 0 : 1, 0, placement.prompt_tokens});
 }
 
 void StreamScheduler::ReleaseDecode(const StreamPlacement& placement) {
-  Backend* decode = backends_.Find(placement.decode);
+  BackendState* decode = backends_.Find(placement.decode);
   if (decode == nullptr) return;
   GiveBack(decode->own, {1, placement.memory_tokens, 0});
 }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -149,7 +149,7 @@
 std::optional<std::string> FrontDaemon::Start() {
   const FrontSettings& settings = context_.settings;
   struct Address {
-    HttpServer& server;
+    EventHttpServer& server;
     const std::string& text;
   };
   for (const Address& it :
@@ -330,7 +330,7 @@
 }
 
 void FrontDaemon::OnBackend(const BackendRecord& record) {
-  const Backend* known = context_.backends.Find(record.id);
+  const BackendState* known = context_.backends.Find(record.id);
   std::optional<Endpoint> old_endpoint;
   if (known != nullptr) old_endpoint = known->record.endpoint;
   BackendChange change = context_.backends.Upsert(record);
@@ -355,7 +355,7 @@
 }
 
 void FrontDaemon::OnRemoved(const BackendName& id, absl::Time at) {
-  const Backend* known = context_.backends.Find(id);
+  const BackendState* known = context_.backends.Find(id);
   if (known == nullptr) return;
   bool is_lapse = at > loop_.Now();
   context_.log.Write(loop_.Now(), "backend",
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -114,7 +114,7 @@
 std::string FrontDaemon::Status() const {
   Json backends = Json::array();
   for (const auto& it : context_.backends.all()) {
-    const Backend& backend = it.second;
+    const BackendState& backend = it.second;
     BackendUse use = backend.Total();
     backends.push_back(
         {{"id", it.first.value()},
@@ -140,7 +140,7 @@
   return status.dump(2) + "\n";
 }
 
-void FrontDaemon::OnControlRequest(HttpServer& server, ExchangeId id,
+void FrontDaemon::OnControlRequest(EventHttpServer& server, ExchangeId id,
                                    const HttpRequest& request) {
   const std::string& target = request.head.target;
   if (target == kMetricsPath) {
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -53,7 +53,7 @@
 }
 
 void PlainRelay::Send() {
-  Backend* backend =
+  BackendState* backend =
       ChooseForCall(context().backends, admitted().service,
                     ZoneName(context().settings.zone), tried_, Now());
   if (backend == nullptr) {
@@ -118,7 +118,7 @@
   auto it = attempts_.find(number);
   Attempt attempt = std::move(it->second);
   attempts_.erase(it);
-  Backend* backend = context().backends.Find(attempt.backend);
+  BackendState* backend = context().backends.Find(attempt.backend);
   if (backend != nullptr && backend->own.requests > 0) {
     backend->own.requests -= 1;
   }
@@ -170,7 +170,7 @@
   Attempt attempt = Take(number);
   AnswerFacts facts = context().protocol.ReadAnswer(attempt.head);
   int status = attempt.head.status;
-  if (Backend* it = context().backends.Find(attempt.backend);
+  if (BackendState* it = context().backends.Find(attempt.backend);
       it != nullptr && facts.load) {
     it->time_percent = facts.load->time_percent;
   }
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -167,7 +167,7 @@
 void StageKeeper::OrderNext() {
   std::optional<StageChange> change = NextChange();
   if (!change) return;
-  const Backend* backend = context_.backends.Find(change->backend);
+  const BackendState* backend = context_.backends.Find(change->backend);
   ordered_[change->backend] = BootTime();
   const EngineTraits* traits = context_.engine_traits(backend->record.service);
   absl::Duration change_time =
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -131,7 +131,7 @@
   holds_prompt_place_ = placement.prompt_tokens > 0;
   holds_decode_place_ = true;
   context().stats.queue_time[admitted().route.name].Add(placement.waited);
-  const Backend* decode = context().backends.Find(placement.decode);
+  const BackendState* decode = context().backends.Find(placement.decode);
   context().log.Write(
       Now(), "placed",
       {{"id", admitted().facts.request_id},
@@ -156,7 +156,7 @@
   if (prefills_ > 0) ++counted_sends_;
   phase_ = Phase::kPrefill;
   ++prefills_;
-  const Backend* backend = context().backends.Find(*placement_->prefill);
+  const BackendState* backend = context().backends.Find(*placement_->prefill);
   ForwardOptions forward;
   forward.expected = backend->record.id;
   forward.remaining = ClientRemaining();
@@ -203,7 +203,7 @@
     return;
   }
   ReleasePromptPlace();
-  const Backend* backend = context().backends.Find(*placement_->prefill);
+  const BackendState* backend = context().backends.Find(*placement_->prefill);
   context().backends.ReportSuccess(*placement_->prefill, Now());
   context().stats.prompt_time.Add(Now() - step_started_);
   if (placement_->prefill_estimate > absl::ZeroDuration()) {
@@ -252,7 +252,7 @@
 
 void StreamRelay::StartDecode() {
   phase_ = Phase::kDecode;
-  const Backend* backend = context().backends.Find(placement_->decode);
+  const BackendState* backend = context().backends.Find(placement_->decode);
   if (backend == nullptr) {
     Release();
     Submit();
@@ -292,7 +292,7 @@
 
 void StreamRelay::OnDecodeHead(HttpHead head) {
   AnswerFacts facts = context().protocol.ReadAnswer(head);
-  Backend* backend = context().backends.Find(placement_->decode);
+  BackendState* backend = context().backends.Find(placement_->decode);
   if (backend != nullptr && facts.load) {
     backend->time_percent = facts.load->time_percent;
   }
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-struct HttpServer::Listener {
+struct EventHttpServer::Listener {
   evconnlistener* handle = nullptr;
 
   ~Listener() {
@@ -45,9 +45,9 @@
   }
 };
 
-class HttpServer::Connection {
+class EventHttpServer::Connection {
  public:
-  Connection(HttpServer& server, int socket, const Endpoint& client)
+  Connection(EventHttpServer& server, int socket, const Endpoint& client)
       : server_(server),
         client_(client),
         reader_(HttpReader::Role::kRequest, server.limits_.max_head_bytes,
@@ -256,12 +256,12 @@
 
   void OnGone() {
     ExchangeId id = exchange_;
-    HttpServer& server = server_;
+    EventHttpServer& server = server_;
     server.Remove(this);
     if (id.value() != 0) server.handlers_.on_client_gone(id);
   }
 
-  HttpServer& server_;
+  EventHttpServer& server_;
   Endpoint client_;
   HttpReader reader_;
   Timer timer_;
@@ -276,12 +276,12 @@
   int rejection_ = 0;
 };
 
-HttpServer::HttpServer(EventLoop& loop, Handlers handlers)
+EventHttpServer::EventHttpServer(EventLoop& loop, Handlers handlers)
     : loop_(loop), handlers_(std::move(handlers)) {}
 
-HttpServer::~HttpServer() = default;
+EventHttpServer::~EventHttpServer() = default;
 
-bool HttpServer::Listen(const Endpoint& endpoint) {
+bool EventHttpServer::Listen(const Endpoint& endpoint) {
   int socket = ListenTcp(endpoint);
   if (socket < 0) return false;
   listener_ = std::make_unique<Listener>();
@@ -289,16 +289,16 @@
       loop_.base(),
       [](evconnlistener* /*listener*/, int accepted, sockaddr* address,
          int /*length*/, void* context) {
-        static_cast<HttpServer*>(context)->Accept(
+        static_cast<EventHttpServer*>(context)->Accept(
             accepted, Endpoint::From(*reinterpret_cast<sockaddr_in*>(address)));
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, socket);
   return listener_->handle != nullptr;
 }
 
-void HttpServer::StopListening() { listener_.reset(); }
+void EventHttpServer::StopListening() { listener_.reset(); }
 
-void HttpServer::Accept(int socket, const Endpoint& client) {
+void EventHttpServer::Accept(int socket, const Endpoint& client) {
   if (connections_.size() >= limits_.max_connections) {
     close(socket);
     return;
@@ -308,7 +308,7 @@
   connections_[key] = std::move(connection);
 }
 
-void HttpServer::Remove(Connection* connection) {
+void EventHttpServer::Remove(Connection* connection) {
   auto it = connections_.find(connection);
   if (it == connections_.end()) return;
   exchanges_.erase(connection->exchange());
@@ -317,7 +317,7 @@
   connections_.erase(it);
 }
 
-void HttpServer::CloseIdle() {
+void EventHttpServer::CloseIdle() {
   std::vector<Connection*> idle;
   for (const auto& it : connections_) {
     if (it.first->IsIdle()) idle.push_back(it.first);
@@ -325,29 +325,29 @@
   for (Connection* it : idle) Remove(it);
 }
 
-HttpServer::Connection* HttpServer::Find(ExchangeId id) {
+EventHttpServer::Connection* EventHttpServer::Find(ExchangeId id) {
   auto it = exchanges_.find(id);
   return it == exchanges_.end() ? nullptr : it->second;
 }
 
-void HttpServer::Respond(ExchangeId id, const HttpResponse& response) {
+void EventHttpServer::Respond(ExchangeId id, const HttpResponse& response) {
   if (Connection* it = Find(id)) it->Respond(response);
 }
 
-void HttpServer::BeginStream(ExchangeId id, int status,
-                             const std::vector<HttpField>& fields) {
+void EventHttpServer::BeginStream(ExchangeId id, int status,
+                                  const std::vector<HttpField>& fields) {
   if (Connection* it = Find(id)) it->BeginStream(status, fields);
 }
 
-void HttpServer::SendStream(ExchangeId id, absl::string_view bytes) {
+void EventHttpServer::SendStream(ExchangeId id, absl::string_view bytes) {
   if (Connection* it = Find(id)) it->SendStream(bytes);
 }
 
-void HttpServer::EndStream(ExchangeId id) {
+void EventHttpServer::EndStream(ExchangeId id) {
   if (Connection* it = Find(id)) it->EndStream();
 }
 
-void HttpServer::Abort(ExchangeId id) {
+void EventHttpServer::Abort(ExchangeId id) {
   if (Connection* it = Find(id)) Remove(it);
 }
 
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -63,7 +63,7 @@
 
   EventLoop& loop_;
   Endpoint endpoint_;
-  HttpServer server_;
+  EventHttpServer server_;
   Fault fault_ = Fault::kNone;
   std::map<std::string, Item> items_;
   std::vector<Change> history_;
@@ -144,7 +144,7 @@
   EventLoop& loop_;
   Options options_;
   Endpoint endpoint_;
-  HttpServer server_;
+  EventHttpServer server_;
   Fault fault_ = Fault::kNone;
   int fault_count_ = 0;
   std::vector<EngineRun> runs_;
--- a/unittests/dispatch/placement_test.cc
+++ b/unittests/dispatch/placement_test.cc
@@ -40,7 +40,7 @@
 }
 
 std::string Chosen(BackendTable& table, absl::Time now = kStart) {
-  Backend* it = ChooseForCall(table, kService, ZoneName("a"), {}, now);
+  BackendState* it = ChooseForCall(table, kService, ZoneName("a"), {}, now);
   return it == nullptr ? "" : it->record.id.value();
 }
 
@@ -99,8 +99,9 @@
   CHECK(Chosen(table) == "bad");
 }
 
-TEST_CASE("an idle server that refuses is left alone for longer than a full one",
-          "[dispatch]") {
+TEST_CASE(
+    "an idle server that refuses is left alone for longer than a full one",
+    "[dispatch]") {
   BackendTable table;
   table.Upsert(Record("idle"));
   table.Upsert(Record("full"));
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -49,19 +49,19 @@
 
 class Exchange {
  public:
-  explicit Exchange(HttpServer::Handlers handlers)
+  explicit Exchange(EventHttpServer::Handlers handlers)
       : server(loop, std::move(handlers)), client(loop, absl::Seconds(3)) {
     REQUIRE(server.Listen(address));
   }
 
   EventLoop loop;
   Endpoint address = FreeEndpoint();
-  HttpServer server;
+  EventHttpServer server;
   HttpClient client;
 };
 
 TEST_CASE("a kept connection serves the next call", "[net]") {
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest& request) {
                  server->Respond(id, {200, {}, request.head.target});
                },
@@ -78,7 +78,7 @@
 }
 
 TEST_CASE("a stream is passed on as it comes", "[net]") {
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   std::optional<ExchangeId> exchange;
   Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
                  exchange = id;
@@ -98,7 +98,7 @@
 }
 
 TEST_CASE("a stream that is cut does not look whole", "[net]") {
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
                  server->BeginStream(id, 200, {});
                  server->SendStream(id, "part");
@@ -180,7 +180,7 @@
 }
 
 TEST_CASE("requests that are sent ahead are answered in order", "[net]") {
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest& request) {
                  server->Respond(id, {200, {}, request.head.target});
                },
@@ -199,7 +199,7 @@
 }
 
 TEST_CASE("slow, oversized and smuggled requests are refused", "[net]") {
-  HttpServer* server = nullptr;
+  EventHttpServer* server = nullptr;
   int served = 0;
   Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
                  ++served;
