--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -508,10 +508,10 @@
 TEST_CASE("the log explains a refusal in a surge", "[front][operations]") {
   Deployment it;
   it.Start();
-  constexpr int kSurge = 60;
+  constexpr int surge = 60;
   std::vector<std::shared_ptr<Answer>> answers;
-  answers.reserve(kSurge);
-  for (int n = 0; n < kSurge; ++n) answers.push_back(it.Ask("POST", "/note/x"));
+  answers.reserve(surge);
+  for (int n = 0; n < surge; ++n) answers.push_back(it.Ask("POST", "/note/x"));
   it.loop.RunFor(absl::Milliseconds(400));
   size_t refused = 0;
   while (refused < answers.size() && answers[refused]->status != 503) ++refused;
