Move the decisions of one stream out of its relay

Cause: what is tried for a stream (which engine, with or without the prompt's cache, what counts as a repeated send, when it may go on elsewhere) stood among sockets in StreamRelay, so that neither a test nor an emulator could reach it without a network. Change: dispatch/stream_lifecycle.h decides; StreamRelay makes the calls and passes events on, as its port. One fault on the way: an answer that did not come from the engine cleared the request's crash count; it does not any more.

--- /dev/null
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -0,0 +1,175 @@
+// What is tried for one stream, from its arrival to its end.
+
+#ifndef CHERVILWICK_DISPATCH_STREAM_LIFECYCLE_H_
+#define CHERVILWICK_DISPATCH_STREAM_LIFECYCLE_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "chervilwick/dispatch/backend_table.h"
+#include "chervilwick/dispatch/crash_suspects.h"
+#include "chervilwick/dispatch/route_table.h"
+#include "chervilwick/dispatch/stream_scheduler.h"
+#include "chervilwick/support/ids.h"
+
+namespace chervilwick {
+
+// A stream's request with the terms of the route that it was admitted under.
+struct StreamTerms {
+  ExchangeId id;
+  ServiceName service;
+  Fingerprint fingerprint;
+  absl::Time arrived;
+  absl::Duration objective;        // from the arrival to the first event
+  absl::Duration pause_objective;  // between events
+  int priority = 0;
+  uint32_t attempts = 1;
+  bool resumable = false;
+  uint32_t prompt_tokens = 0;
+  uint32_t max_output_tokens = 0;
+  std::optional<uint32_t> output_hint;  // the client's estimate
+};
+
+// How a stream ends that no engine finished.
+struct StreamEnding {
+  enum class Kind {
+    kRefused,  // it has not run and won't
+    kFailed,   // it ran, or may have run, and the client has nothing of it
+    kCut,      // the client has a part
+  };
+  Kind kind = Kind::kRefused;
+  absl::string_view reason;
+  absl::Duration retry_after = absl::ZeroDuration();
+};
+
+// Carries out what the lifecycle decides.
+class StreamPort {
+ public:
+  virtual ~StreamPort() = default;
+
+  // How long the client waits for an event, from its arrival on.
+  virtual absl::Duration Patience() const = 0;
+  // How long a prompt's KV cache is kept for the decoding engine.
+  virtual absl::Duration HandleLifetime() const = 0;
+  // Takes one repeated send out of the fleet's budget.
+  virtual bool TakeRepeat() = 0;
+  // Sends the prompt to an engine that reads prompts, for at most `patience`.
+  virtual void SendPrompt(const BackendName& engine,
+                          absl::Duration patience) = 0;
+  // Sends the stream to a decoding engine, with the KV cache of the prompt read
+  // last or for the engine to read it.
+  virtual void SendDecode(const BackendName& engine, bool with_handle) = 0;
+  // Lets go of the KV cache of the prompt read last.
+  virtual void FreeHandle() = 0;
+  // The stream goes on at another engine.
+  virtual void OnResumed() = 0;
+  // The last call for a stream.
+  virtual void End(const StreamEnding& ending) = 0;
+  // Places have become free.
+  virtual void WakeScheduler() = 0;
+};
+
+// Waits for a place, has the prompt read, then the stream generated. What an
+// engine refuses is tried elsewhere; what broke off goes on at another engine
+// only where the route says that it may.
+class StreamLifecycle {
+ public:
+  // What the fleet shares.
+  struct Services {
+    BackendTable& backends;
+    StreamScheduler& scheduler;
+    CrashSuspects& suspects;
+  };
+
+  enum class Phase { kWaiting, kPrompt, kDecode };
+  enum class SilenceVerdict {
+    kIgnore,  // nothing better can be done
+    kWait,    // for LongSilence() more
+    kResume,  // the call must be cancelled and reported as broken off
+  };
+
+  StreamLifecycle(const Services& services, const StreamTerms& terms,
+                  StreamPort& port);
+  StreamLifecycle(const StreamLifecycle&) = delete;
+  StreamLifecycle& operator=(const StreamLifecycle&) = delete;
+
+  // How long a client waits for an event of a route.
+  static absl::Duration PatienceOf(absl::Duration objective,
+                                   absl::Duration pause_objective);
+  // Silence of a decoding engine after which OnDecodeSilent is due.
+  static absl::Duration NotedSilence();
+  // Further silence after which a stream goes on elsewhere.
+  static absl::Duration LongSilence();
+
+  void Start(absl::Time now) { Submit(now); }
+  void OnPlaced(const StreamPlacement& placement, absl::Time now);
+  void OnRefused(const StreamRefusal& refusal);
+
+  void OnPromptRead(absl::Time now);
+  // The engine refused the prompt, or it broke off or came too late.
+  void OnPromptFailed(bool is_refused, absl::Time now);
+
+  // The decoding engine began to answer with success.
+  void OnStreaming();
+  // It sent a part of its answer.
+  void OnBytes();
+  void OnWhole(absl::Time now);
+  // The engine said that it did not run the stream; `is_wrong_server` if it is
+  // another one than was meant.
+  void OnDecodeNotRun(bool is_wrong_server, absl::Time now);
+  // `sent`: bytes may have reached the engine. `closed`: it closed the
+  // connection, as one that crashes does.
+  void OnDecodeBroken(bool sent, bool closed, absl::Time now);
+  SilenceVerdict OnDecodeSilent(absl::Time now);
+
+  // Gives all places back; the port hears nothing more.
+  void Close();
+
+  Phase phase() const { return phase_; }
+  const StreamPlacement& placement() const { return *placement_; }
+  bool is_streaming() const { return is_streaming_; }
+  uint32_t runs() const { return runs_; }
+
+ private:
+  void Submit(absl::Time now);
+  StreamJob MakeJob(absl::Time now) const;
+  void StartPrompt();
+  void StartDecode(absl::Time now);
+  // Takes a repeated send out of the budget if this is not the first send; if
+  // there is none left, ends the stream.
+  bool PayForSend();
+  bool HasFreshHandle(absl::Time now) const;
+  bool MayResume() const;
+  void DropHandle();
+  void ReleasePrompt();
+  void Release();
+
+  Services services_;
+  StreamTerms terms_;
+  StreamPort& port_;
+  Phase phase_ = Phase::kWaiting;
+  std::optional<StreamPlacement> placement_;
+  bool holds_prompt_place_ = false;
+  bool holds_decode_place_ = false;
+  std::optional<absl::Time> handle_made_;
+  absl::Time step_started_;
+  std::set<BackendName> excluded_;
+  uint32_t counted_sends_ = 0;  // that the retry budget counts
+  uint32_t prompt_sends_ = 0;
+  uint32_t decode_sends_ = 0;
+  uint32_t runs_ = 0;  // decode sends that may have run
+  uint32_t handle_refusals_ = 0;
+  bool is_streaming_ = false;  // the client has the head
+  bool reads_at_decode_ = false;
+  bool was_silent_ = false;
+};
+
+// Name of a reason in logs and metrics.
+absl::string_view ReasonText(StreamRefusalReason reason);
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_DISPATCH_STREAM_LIFECYCLE_H_
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -4,18 +4,17 @@
 #define CHERVILWICK_FRONT_STREAM_RELAY_H_
 
 #include <optional>
-#include <set>
 #include <string>
 
+#include "chervilwick/dispatch/stream_lifecycle.h"
 #include "chervilwick/front/event_splitter.h"
 #include "chervilwick/front/relay.h"
 
 namespace chervilwick {
 
-// Waits for a place, has the prompt read, then passes events on as they come.
-// A stream that broke off goes on at another engine only where its route says
-// that it may.
-class StreamRelay : public Relay {
+// Carries out what the stream's lifecycle decides: prompt and decode calls, and
+// events passed on as they come.
+class StreamRelay : public Relay, private StreamPort {
  public:
   StreamRelay(FrontContext& context, AdmittedRequest admitted,
               Finished finished);
@@ -30,53 +29,43 @@
   void OnTimeout() override;
 
  private:
-  enum class Phase { kWaiting, kPrefill, kDecode };
+  using Phase = StreamLifecycle::Phase;
 
-  void Submit();
-  StreamJob MakeJob() const;
-  // Takes a repeated send out of the budget if this is not the first send; if
-  // there is none left, ends the request.
-  bool PayForSend();
-  void StartPrefill();
-  void OnPrefillEvent(CallEvent event);
-  void OnPrefillEnd();
-  void OnPrefillFailed(absl::string_view why, bool is_full);
-  void StartDecode();
+  absl::Duration Patience() const override;
+  absl::Duration HandleLifetime() const override;
+  bool TakeRepeat() override;
+  void SendPrompt(const BackendName& engine, absl::Duration patience) override;
+  void SendDecode(const BackendName& engine, bool with_handle) override;
+  void FreeHandle() override;
+  void OnResumed() override;
+  void End(const StreamEnding& ending) override;
+  void WakeScheduler() override;
+
+  void Call(const BackendState& engine, const ForwardOptions& forward,
+            CallHandler handler);
+  void OnPromptEvent(CallEvent event);
+  void OnPromptEnd();
+  void OnPromptFailed(absl::string_view why, bool is_refused);
   void OnDecodeEvent(CallEvent event);
   void OnDecodeHead(HttpHead head);
   void OnDecodeBytes(absl::string_view bytes);
   void OnDecodeEnd();
-  void OnDecodeNotRun();
   void OnDecodeBroken(const CallFailure& failure);
   void OnSilence();
-  bool MayResume() const;
-  void Release();
-  void ReleasePromptPlace();
-  void FreeHandle();
-  bool HasFreshHandle() const;
-  absl::Time ClientPatienceEnd() const;
+  // Forgets the call that has ended.
+  void EndCall();
+  void CancelCall();
+  // Cuts the client's connection, so that its answer can't look complete.
+  void Cut(absl::string_view reason);
 
-  Phase phase_ = Phase::kWaiting;
-  std::optional<StreamPlacement> placement_;
-  bool holds_prompt_place_ = false;
-  bool holds_decode_place_ = false;
+  StreamLifecycle lifecycle_;
   CallId call_;
   HttpHead head_;
   std::string body_;  // of an answer that is not a stream
   std::optional<KvSource> handle_;
-  absl::Time handle_made_;
   absl::Time step_started_;
   EventSplitter events_;
   Timer silence_;
-  std::set<BackendName> excluded_;
-  uint32_t counted_sends_ = 0;  // that the retry budget counts
-  uint32_t prefills_ = 0;
-  uint32_t decode_sends_ = 0;
-  uint32_t runs_ = 0;  // decode sends that may have run
-  uint32_t handle_refusals_ = 0;
-  bool is_streaming_ = false;  // the client has the head
-  bool reads_at_decode_ = false;
-  bool silent_once_ = false;
 };
 
 }  // namespace chervilwick
--- /dev/null
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -0,0 +1,302 @@
+// What is tried for one stream.
+
+#include "chervilwick/dispatch/stream_lifecycle.h"
+
+#include <algorithm>
+
+namespace chervilwick {
+namespace {
+
+// Part of a handle's lifetime after which it is not used any more.
+constexpr double kHandleShare = 0.7;
+// A prompt that takes longer than estimated by this factor and margin is read
+// elsewhere.
+constexpr double kPromptPatience = 3;
+constexpr absl::Duration kPromptMargin = absl::Milliseconds(250);
+// Silence of a decoding engine after which it gets no new streams.
+constexpr absl::Duration kSilenceNoted = absl::Milliseconds(700);
+// Silence after which a resumable stream goes on elsewhere.
+constexpr absl::Duration kSilenceResume = absl::Milliseconds(1400);
+// Engines that one stream is offered to, refusals included.
+constexpr uint32_t kMaxDecodeSends = 4;
+constexpr uint32_t kMaxPromptSends = 3;
+// Expected output, as a multiple of the client's estimate.
+constexpr double kOutputMargin = 1.2;
+// A client gives an event up after the longest of these; the last part of it
+// is left for the way back.
+constexpr absl::Duration kClientPatience = absl::Seconds(2);
+constexpr double kPatienceObjectives = 4;
+constexpr double kPatiencePauses = 8;
+constexpr double kPatienceUsed = 0.85;
+constexpr absl::Duration kRetryAfterFull = absl::Milliseconds(500);
+
+}  // namespace
+
+absl::string_view ReasonText(StreamRefusalReason reason) {
+  switch (reason) {
+    case StreamRefusalReason::kQueueTooLong:
+      return "queue_too_long";
+    case StreamRefusalReason::kWaitedTooLong:
+      return "waited_too_long";
+    case StreamRefusalReason::kNoEngines:
+      return "no_engines";
+    case StreamRefusalReason::kNoBudget:
+      return "retry_budget_used_up";
+  }
+  return "unknown";
+}
+
+StreamLifecycle::StreamLifecycle(const Services& services,
+                                 const StreamTerms& terms, StreamPort& port)
+    : services_(services), terms_(terms), port_(port) {}
+
+absl::Duration StreamLifecycle::PatienceOf(absl::Duration objective,
+                                           absl::Duration pause_objective) {
+  return kPatienceUsed *
+         std::max({kClientPatience, objective * kPatienceObjectives,
+                   pause_objective * kPatiencePauses});
+}
+
+absl::Duration StreamLifecycle::NotedSilence() { return kSilenceNoted; }
+
+absl::Duration StreamLifecycle::LongSilence() {
+  return kSilenceResume - kSilenceNoted;
+}
+
+StreamJob StreamLifecycle::MakeJob(absl::Time now) const {
+  StreamJob job;
+  job.id = terms_.id;
+  job.service = terms_.service;
+  job.arrived = terms_.arrived;
+  job.first_event_due = terms_.arrived + terms_.objective;
+  job.give_up_at = terms_.arrived + port_.Patience();
+  if (is_streaming_) {
+    // The client waits from its last event on.
+    job.first_event_due = now + terms_.pause_objective;
+    job.give_up_at = now + port_.Patience();
+  }
+  job.priority = terms_.priority;
+  job.prompt_tokens = terms_.prompt_tokens;
+  job.output_tokens = terms_.max_output_tokens;
+  if (terms_.output_hint) {
+    double expected = *terms_.output_hint * kOutputMargin;
+    job.output_tokens =
+        std::min(job.output_tokens, static_cast<uint32_t>(expected));
+  }
+  job.has_prompt = reads_at_decode_ || HasFreshHandle(now);
+  job.excluded = excluded_;
+  return job;
+}
+
+void StreamLifecycle::Submit(absl::Time now) {
+  phase_ = Phase::kWaiting;
+  std::optional<StreamRefusal> refusal =
+      services_.scheduler.Submit(MakeJob(now), now);
+  if (refusal) {
+    OnRefused(*refusal);
+    return;
+  }
+  port_.WakeScheduler();
+}
+
+void StreamLifecycle::OnRefused(const StreamRefusal& refusal) {
+  StreamEnding ending;
+  ending.reason = ReasonText(refusal.reason);
+  if (is_streaming_) {
+    ending.kind = StreamEnding::Kind::kCut;
+  } else if (runs_ > 0) {
+    ending.kind = StreamEnding::Kind::kFailed;
+  } else {
+    ending.retry_after = refusal.retry_after;
+  }
+  port_.End(ending);
+}
+
+void StreamLifecycle::OnPlaced(const StreamPlacement& placement,
+                               absl::Time now) {
+  placement_ = placement;
+  holds_prompt_place_ = placement.prompt_tokens > 0;
+  holds_decode_place_ = true;
+  step_started_ = now;
+  if (placement.prefill) {
+    StartPrompt();
+  } else {
+    StartDecode(now);
+  }
+}
+
+bool StreamLifecycle::PayForSend() {
+  if (counted_sends_ == 0 || port_.TakeRepeat()) return true;
+  Release();
+  DropHandle();
+  OnRefused({terms_.id, StreamRefusalReason::kNoBudget, kRetryAfterFull});
+  return false;
+}
+
+void StreamLifecycle::StartPrompt() {
+  if (!PayForSend()) return;
+  // The first prompt call counts as a send only if the engine refuses it.
+  if (prompt_sends_ > 0) ++counted_sends_;
+  phase_ = Phase::kPrompt;
+  ++prompt_sends_;
+  port_.SendPrompt(
+      *placement_->prefill,
+      placement_->prefill_estimate * kPromptPatience + kPromptMargin);
+}
+
+void StreamLifecycle::OnPromptRead(absl::Time now) {
+  ReleasePrompt();
+  services_.backends.ReportSuccess(*placement_->prefill, now);
+  if (placement_->prefill_estimate > absl::ZeroDuration()) {
+    services_.scheduler.ObservePrompt(
+        absl::FDivDuration(now - step_started_, placement_->prefill_estimate));
+  }
+  handle_made_ = now;
+  StartDecode(now);
+  port_.WakeScheduler();
+}
+
+void StreamLifecycle::OnPromptFailed(bool is_refused, absl::Time now) {
+  BackendName prefill = *placement_->prefill;
+  if (is_refused) {
+    if (prompt_sends_ == 1) ++counted_sends_;
+    services_.backends.ReportFull(prefill, now);
+  } else {
+    services_.backends.ReportFailure(prefill, now);
+    excluded_.insert(prefill);
+  }
+  ReleasePrompt();
+  if (prompt_sends_ >= kMaxPromptSends) {
+    reads_at_decode_ = true;
+    StartDecode(now);
+    return;
+  }
+  Release();
+  Submit(now);
+}
+
+bool StreamLifecycle::HasFreshHandle(absl::Time now) const {
+  return handle_made_ &&
+         now - *handle_made_ < port_.HandleLifetime() * kHandleShare;
+}
+
+void StreamLifecycle::StartDecode(absl::Time now) {
+  phase_ = Phase::kDecode;
+  if (services_.backends.Find(placement_->decode) == nullptr) {
+    Release();
+    Submit(now);
+    return;
+  }
+  if (!PayForSend()) return;
+  ++counted_sends_;
+  ++decode_sends_;
+  ++runs_;
+  step_started_ = now;
+  port_.SendDecode(placement_->decode, HasFreshHandle(now));
+}
+
+void StreamLifecycle::OnStreaming() {
+  ReleasePrompt();
+  handle_made_.reset();
+  is_streaming_ = true;
+}
+
+void StreamLifecycle::OnBytes() {
+  was_silent_ = false;
+  services_.backends.ReportAlive(placement_->decode);
+}
+
+void StreamLifecycle::OnWhole(absl::Time now) {
+  services_.suspects.Clear(terms_.fingerprint);
+  services_.scheduler.ObserveStream(now - step_started_);
+  services_.backends.ReportSuccess(placement_->decode, now);
+}
+
+void StreamLifecycle::OnDecodeNotRun(bool is_wrong_server, absl::Time now) {
+  --runs_;
+  BackendName decode = placement_->decode;
+  if (handle_made_ && ++handle_refusals_ > 1) {
+    DropHandle();
+    reads_at_decode_ = true;
+  }
+  services_.backends.ReportFull(decode, now);
+  if (is_wrong_server) services_.backends.ReportFailure(decode, now);
+  Release();
+  excluded_.insert(decode);
+  if (decode_sends_ >= kMaxDecodeSends) {
+    OnRefused({terms_.id, StreamRefusalReason::kNoEngines, kRetryAfterFull});
+    return;
+  }
+  Submit(now);
+}
+
+bool StreamLifecycle::MayResume() const {
+  return terms_.resumable && runs_ < terms_.attempts &&
+         decode_sends_ < kMaxDecodeSends;
+}
+
+void StreamLifecycle::OnDecodeBroken(bool sent, bool closed, absl::Time now) {
+  BackendName decode = placement_->decode;
+  services_.backends.ReportFailure(decode, now);
+  Release();
+  excluded_.insert(decode);
+  if (!sent) {
+    --runs_;
+    if (decode_sends_ < kMaxDecodeSends) {
+      Submit(now);
+      return;
+    }
+  } else if (closed) {
+    services_.suspects.ReportBreak(terms_.fingerprint, now);
+  }
+  if (sent && MayResume()) {
+    port_.OnResumed();
+    Submit(now);
+    return;
+  }
+  StreamEnding ending;
+  ending.reason = "backend_broke_off";
+  if (is_streaming_) {
+    ending.kind = StreamEnding::Kind::kCut;
+  } else if (runs_ > 0) {
+    ending.kind = StreamEnding::Kind::kFailed;
+  } else {
+    ending.retry_after = kRetryAfterFull;
+  }
+  port_.End(ending);
+}
+
+StreamLifecycle::SilenceVerdict StreamLifecycle::OnDecodeSilent(
+    absl::Time now) {
+  services_.backends.ReportFailure(placement_->decode, now);
+  if (!MayResume()) return SilenceVerdict::kIgnore;
+  if (was_silent_) return SilenceVerdict::kResume;
+  was_silent_ = true;
+  return SilenceVerdict::kWait;
+}
+
+void StreamLifecycle::DropHandle() {
+  if (!handle_made_) return;
+  handle_made_.reset();
+  port_.FreeHandle();
+}
+
+void StreamLifecycle::ReleasePrompt() {
+  if (holds_prompt_place_) services_.scheduler.ReleasePrompt(*placement_);
+  holds_prompt_place_ = false;
+}
+
+void StreamLifecycle::Release() {
+  if (!placement_) return;
+  ReleasePrompt();
+  if (holds_decode_place_) services_.scheduler.ReleaseDecode(*placement_);
+  holds_decode_place_ = false;
+  port_.WakeScheduler();
+}
+
+void StreamLifecycle::Close() {
+  services_.scheduler.Withdraw(terms_.id);
+  Release();
+}
+
+}  // namespace chervilwick
