--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "absl/functional/function_ref.h"
 #include "absl/time/time.h"
 #include "chervilwick/dispatch/backend_record.h"
 #include "chervilwick/support/ids.h"
@@ -74,9 +76,12 @@
 
   BackendState* Find(const BackendName& id);
   const BackendState* Find(const BackendName& id) const;
-  // Those of a service that may get new requests, trusted ones only unless
-  // there is none.
+  using Filter = absl::FunctionRef<bool(const BackendState&)>;
+  // Those of a service that may get new requests, are usable and not excluded;
+  // trusted ones only unless there is none.
   std::vector<BackendState*> Candidates(const ServiceName& service,
+                                        Filter is_usable,
+                                        const std::set<BackendName>& excluded,
                                         absl::Time now);
 
   // A request broke off or got no answer there. Distrust doubles each time.
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -127,6 +127,8 @@
   void RefuseHopeless(absl::Time now, std::vector<StreamDecision>& out);
   std::optional<StreamPlacement> Place(const StreamJob& job, Class which,
                                        absl::Time now);
+  std::vector<BackendState*> DecodeCandidates(const StreamJob& job,
+                                              absl::Time now);
   BackendState* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
   BackendState* ChoosePrefill(const StreamJob& job, const ZoneName& near,
                               absl::Time now);
--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -51,6 +51,7 @@
   Timer slow_;
   std::map<uint32_t, Attempt> attempts_;
   std::set<BackendName> tried_;
+  std::set<BackendName> broken_;  // of those, without an answer
   // An engine's failure, delivered if no other run does better.
   std::optional<Attempt> failure_answer_;
   uint32_t sends_ = 0;
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -119,14 +119,16 @@
   return it == backends_.end() ? nullptr : &it->second;
 }
 
-std::vector<BackendState*> BackendTable::Candidates(const ServiceName& service,
-                                                    absl::Time now) {
+std::vector<BackendState*> BackendTable::Candidates(
+    const ServiceName& service, Filter is_usable,
+    const std::set<BackendName>& excluded, absl::Time now) {
   std::vector<BackendState*> trusted;
   std::vector<BackendState*> suspects;
   for (auto& it : backends_) {
     BackendState& backend = it.second;
     if (backend.record.service != service || backend.record.draining) continue;
-    if (backend.changing_until > now) continue;
+    if (backend.changing_until > now || !is_usable(backend)) continue;
+    if (excluded.count(it.first) != 0) continue;
     (backend.suspect_until > now ? suspects : trusted).push_back(&backend);
   }
   return trusted.empty() ? suspects : trusted;
--- a/lib/dispatch/call_balancer.cc
+++ b/lib/dispatch/call_balancer.cc
@@ -23,8 +23,8 @@
                             absl::Time now) {
   BackendState* best = nullptr;
   double least = std::numeric_limits<double>::infinity();
-  for (BackendState* it : backends.Candidates(service, now)) {
-    if (excluded.count(it->record.id) != 0) continue;
+  auto any = [](const BackendState& /*backend*/) { return true; };
+  for (BackendState* it : backends.Candidates(service, any, excluded, now)) {
     double ahead = static_cast<double>(it->Total().requests + 1);
     double load = ahead / it->record.slots * it->time_percent / kUsualPercent;
     if (it->record.zone != zone) load += kOtherZoneLoad;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -31,6 +31,14 @@
   return int64_t{job.prompt_tokens} + job.output_tokens;
 }
 
+bool GeneratesStreams(const BackendState& backend) {
+  return backend.record.stage != EngineStage::kPrefill;
+}
+
+bool ReadsPrompts(const BackendState& backend) {
+  return backend.record.stage == EngineStage::kPrefill;
+}
+
 // A server that was removed and found again starts at zero; use from before
 // must not make it negative.
 void GiveBack(BackendUse& use, const BackendUse& part) {
@@ -82,14 +90,12 @@
 
 double StreamScheduler::PlacesPerSecond(const ServiceName& service,
                                         absl::Time now) {
-  double memory = 0;
-  for (BackendState* it : backends_.Candidates(service, now)) {
-    if (it->record.stage == EngineStage::kPrefill) continue;
-    auto traits = engines_.find(service);
-    memory += static_cast<double>(traits == engines_.end()
-                                      ? kDefaultMemoryTokens
-                                      : traits->second.memory_tokens);
-  }
+  auto traits = engines_.find(service);
+  double memory = static_cast<double>(traits == engines_.end()
+                                          ? kDefaultMemoryTokens
+                                          : traits->second.memory_tokens);
+  memory *= static_cast<double>(
+      backends_.Candidates(service, GeneratesStreams, {}, now).size());
   double per_stream = memory_per_stream_ > 0 ? memory_per_stream_ : 4000;
   return memory * options_.memory_fill / per_stream / stream_seconds_;
 }
@@ -222,6 +228,15 @@
   return placement;
 }
 
+std::vector<BackendState*> StreamScheduler::DecodeCandidates(
+    const StreamJob& job, absl::Time now) {
+  std::vector<BackendState*> candidates =
+      backends_.Candidates(job.service, GeneratesStreams, job.excluded, now);
+  if (!candidates.empty()) return candidates;
+  // Those that failed it are better than none.
+  return backends_.Candidates(job.service, GeneratesStreams, {}, now);
+}
+
 BackendState* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
                                             absl::Time now) {
   double fill = which == Class::kOnTime ? options_.memory_fill
@@ -231,9 +246,7 @@
                                              : traits->second.memory_tokens;
   BackendState* best = nullptr;
   double least = std::numeric_limits<double>::infinity();
-  for (BackendState* it : backends_.Candidates(job.service, now)) {
-    if (it->record.stage == EngineStage::kPrefill) continue;
-    if (job.excluded.count(it->record.id) != 0) continue;
+  for (BackendState* it : DecodeCandidates(job, now)) {
     if (it->full_until > now) continue;
     BackendUse use = it->Total();
     if (use.requests >= it->record.slots) continue;
@@ -256,11 +269,11 @@
                                              absl::Time now) {
   BackendState* best = nullptr;
   absl::Duration least = absl::InfiniteDuration();
-  bool any = false;
-  for (BackendState* it : backends_.Candidates(job.service, now)) {
-    if (it->record.stage != EngineStage::kPrefill) continue;
-    any = true;
-    if (job.excluded.count(it->record.id) != 0) continue;
+  std::vector<BackendState*> candidates =
+      backends_.Candidates(job.service, ReadsPrompts, job.excluded, now);
+  // No engine reads its prompt: the decoding engine reads it itself.
+  if (candidates.empty()) return ChooseDecode(job, Class::kOnTime, now);
+  for (BackendState* it : candidates) {
     if (it->full_until > now) continue;
     absl::Duration backlog =
         PromptTime(it->Total().prompt_tokens) * it->time_percent / 100;
@@ -274,9 +287,7 @@
     least = backlog;
     best = it;
   }
-  if (best != nullptr || any) return best;
-  // No engine reads prompts for others: the decoding engine reads it itself.
-  return ChooseDecode(job, Class::kOnTime, now);
+  return best;
 }
 
 void StreamScheduler::ReleasePrompt(const StreamPlacement& placement) {
--- /dev/null
+++ b/lib/emulator/dispatch_front.cc
@@ -0,0 +1,333 @@
+// A front with the product's own decisions.
+
+#include "dispatch_front.h"
+
+#include <utility>
+
+#include "chervilwick/support/overloaded.h"
+#include "client_watch.h"
+
+namespace chervilwick {
+namespace {
+
+// As the daemon looks again at streams that wait.
+constexpr absl::Duration kSchedulerTick = absl::Milliseconds(15);
+// The lifecycle's patience leaves a part for the way back; the client's does
+// not.
+constexpr double kPatienceUsed = 0.85;
+
+}  // namespace
+
+// One stream: carries out its lifecycle's decisions at the modelled engines.
+class DispatchFront::Stream : public StreamPort {
+ public:
+  Stream(DispatchFront& front, ExchangeId id, const EmulatedRequest& request,
+         OutcomeHandler handler)
+      : front_(front),
+        id_(id),
+        request_(request),
+        handler_(std::move(handler)),
+        lifecycle_({front.backends_, front.scheduler_, front.suspects_},
+                   TermsOf(front, id, request), *this),
+        client_(front.queue_, Patience() / kPatienceUsed,
+                [this] { Finish(EmulatedOutcome::Kind::kLeft); }),
+        silence_(front.queue_, [this] { OnSilence(); }) {}
+
+  void Start() { lifecycle_.Start(front_.queue_.now()); }
+  StreamLifecycle& lifecycle() { return lifecycle_; }
+
+ private:
+  static StreamTerms TermsOf(const DispatchFront& front, ExchangeId id,
+                             const EmulatedRequest& request) {
+    StreamTerms terms;
+    terms.id = id;
+    terms.service = front.options_.service;
+    terms.fingerprint = Fingerprint(request.number);
+    terms.arrived = front.queue_.now();
+    terms.objective = request.objective;
+    terms.pause_objective = request.pause_objective;
+    terms.priority = request.priority;
+    terms.attempts = 3;
+    terms.resumable = request.resumable;
+    terms.prompt_tokens = static_cast<uint32_t>(request.prompt_tokens);
+    terms.max_output_tokens = 2 * request.output_hint;
+    terms.output_hint = request.output_hint;
+    return terms;
+  }
+
+  // ---- StreamPort ----
+
+  absl::Duration Patience() const override {
+    return StreamLifecycle::PatienceOf(request_.objective,
+                                       request_.pause_objective);
+  }
+  absl::Duration HandleLifetime() const override {
+    return front_.options_.engine.handle_lifetime;
+  }
+  bool TakeRepeat() override { return front_.TakeRepeat(); }
+  void FreeHandle() override {}
+  void OnResumed() override {}
+  void WakeScheduler() override { front_.WakeScheduler(); }
+
+  void SendPrompt(const BackendName& engine, absl::Duration patience) override {
+    silence_.Arm(patience);
+    uint64_t call = BeginCall(engine);
+    call_id_ = engine_->ReadPrompt(
+        request_.prompt_tokens, [this, alive = alive_, call](PromptResult it) {
+          if (*alive && call == call_) OnPrompt(it);
+        });
+  }
+
+  void SendDecode(const BackendName& engine, bool with_handle) override {
+    silence_.Arm(StreamLifecycle::NotedSilence());
+    uint64_t call = BeginCall(engine);
+    DecodeRun run;
+    run.request = request_.number;
+    run.priority = request_.priority;
+    run.prompt_tokens = request_.prompt_tokens + tokens_;
+    run.output_tokens = request_.output_tokens - tokens_;
+    run.has_handle = with_handle;
+    call_id_ =
+        engine_->Decode(run, [this, alive = alive_, call](DecodeEvent it) {
+          if (*alive && call == call_) OnDecode(it);
+        });
+  }
+
+  void End(const StreamEnding& ending) override {
+    switch (ending.kind) {
+      case StreamEnding::Kind::kRefused:
+        Finish(EmulatedOutcome::Kind::kRefused, ending.retry_after);
+        return;
+      case StreamEnding::Kind::kFailed:
+        Finish(EmulatedOutcome::Kind::kFailed);
+        return;
+      case StreamEnding::Kind::kCut:
+        Finish(EmulatedOutcome::Kind::kCut);
+        return;
+    }
+  }
+
+  // ---- Answers of engines ----
+
+  uint64_t BeginCall(const BackendName& engine) {
+    engine_ = front_.engines_.at(engine).get();
+    return ++call_;
+  }
+
+  void EndCall() {
+    ++call_;  // what still comes is of no call
+    engine_ = nullptr;
+    silence_.Cancel();
+  }
+
+  void CancelCall() {
+    if (engine_ != nullptr) engine_->Cancel(call_id_);
+    EndCall();
+  }
+
+  void OnPrompt(PromptResult result) {
+    EndCall();
+    absl::Time now = front_.queue_.now();
+    if (result == PromptResult::kRead) {
+      lifecycle_.OnPromptRead(now);
+    } else {
+      lifecycle_.OnPromptFailed(result == PromptResult::kRefused, now);
+    }
+  }
+
+  void OnDecode(DecodeEvent event) {
+    absl::Time now = front_.queue_.now();
+    switch (event) {
+      case DecodeEvent::kToken:
+        if (tokens_++ == tokens_before_) lifecycle_.OnStreaming();
+        lifecycle_.OnBytes();
+        silence_.Arm(StreamLifecycle::NotedSilence());
+        client_.OnToken();
+        return;
+      case DecodeEvent::kWhole:
+        EndCall();
+        lifecycle_.OnWhole(now);
+        Finish(EmulatedOutcome::Kind::kWhole);
+        return;
+      case DecodeEvent::kRefused:
+        EndCall();
+        lifecycle_.OnDecodeNotRun(/*is_wrong_server=*/false, now);
+        return;
+      case DecodeEvent::kUnreachable:
+        EndCall();
+        tokens_before_ = tokens_;
+        lifecycle_.OnDecodeBroken(/*sent=*/false, /*closed=*/false, now);
+        return;
+      case DecodeEvent::kBroken:
+        EndCall();
+        tokens_before_ = tokens_;
+        lifecycle_.OnDecodeBroken(/*sent=*/true, /*closed=*/true, now);
+        return;
+    }
+  }
+
+  void OnSilence() {
+    absl::Time now = front_.queue_.now();
+    if (lifecycle_.phase() == StreamLifecycle::Phase::kPrompt) {
+      CancelCall();
+      lifecycle_.OnPromptFailed(/*is_refused=*/false, now);
+      return;
+    }
+    switch (lifecycle_.OnDecodeSilent(now)) {
+      case StreamLifecycle::SilenceVerdict::kIgnore:
+        return;
+      case StreamLifecycle::SilenceVerdict::kWait:
+        silence_.Arm(StreamLifecycle::LongSilence());
+        return;
+      case StreamLifecycle::SilenceVerdict::kResume:
+        CancelCall();
+        tokens_before_ = tokens_;
+        lifecycle_.OnDecodeBroken(/*sent=*/true, /*closed=*/false, now);
+        return;
+    }
+  }
+
+  void Finish(EmulatedOutcome::Kind kind,
+              absl::Duration retry_after = absl::ZeroDuration()) {
+    if (!*alive_) return;
+    *alive_ = false;
+    CancelCall();
+    lifecycle_.Close();
+    EmulatedOutcome outcome = client_.End(kind, retry_after);
+    front_.Remove(id_);
+    handler_(outcome);
+  }
+
+  DispatchFront& front_;
+  const ExchangeId id_;
+  const EmulatedRequest request_;
+  OutcomeHandler handler_;
+  StreamLifecycle lifecycle_;
+  ClientWatch client_;
+  SilenceWatch silence_;
+  // Shared with the callbacks that may come after this has gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  EngineModel* engine_ = nullptr;  // of the call in progress
+  uint64_t call_ = 0;
+  uint64_t call_id_ = 0;
+  int64_t tokens_ = 0;
+  int64_t tokens_before_ = 0;  // delivered by earlier runs
+};
+
+DispatchFront::DispatchFront(EventQueue& queue, EngineFleet& engines,
+                             std::string name, const FrontModelOptions& options)
+    : queue_(queue),
+      engines_(engines),
+      name_(std::move(name)),
+      options_(options),
+      scheduler_(backends_, ZoneName("a"), options.scheduler),
+      quota_({options.retry_ratio, options.retry_slack, absl::Seconds(10)}) {
+  quota_.SetFronts(options.fronts);
+  ServiceTraits traits;
+  traits.engine = EngineTraits();
+  traits.engine->slots = options.engine.slots;
+  traits.engine->memory_tokens =
+      static_cast<uint64_t>(options.engine.memory_tokens);
+  traits.engine->handle_lifetime = options.engine.handle_lifetime;
+  scheduler_.SetEngineTraits({{options.service, traits}});
+}
+
+DispatchFront::~DispatchFront() = default;
+
+void DispatchFront::Submit(const EmulatedRequest& request,
+                           OutcomeHandler handler) {
+  ExchangeId id(next_id_++);
+  quota_.OnRequest(options_.service, queue_.now());
+  if (suspects_.IsQuarantined(Fingerprint(request.number))) {
+    EmulatedOutcome outcome;
+    outcome.kind = EmulatedOutcome::Kind::kFailed;
+    handler(outcome);
+    return;
+  }
+  auto stream =
+      std::make_unique<Stream>(*this, id, request, std::move(handler));
+  Stream* raw = stream.get();
+  streams_[id] = std::move(stream);
+  raw->Start();
+}
+
+void DispatchFront::OnRecord(const BackendRecord& record) {
+  backends_.Upsert(record);
+  WakeScheduler();
+}
+
+void DispatchFront::OnRemoved(const BackendName& id) { backends_.Remove(id); }
+
+void DispatchFront::Exchange(const std::vector<FrontModel*>& others) {
+  size_t waiting = 0;
+  for (FrontModel* it : others) {
+    auto* front = dynamic_cast<DispatchFront*>(it);
+    if (front == nullptr || front == this) continue;
+    backends_.SetPeerUse(front->name_, front->backends_.OwnUse());
+    for (const CrashCount& count : front->suspects_.Notable()) {
+      suspects_.Merge(count, queue_.now());
+    }
+    waiting += front->waiting();
+  }
+  scheduler_.SetPeersWaiting(waiting);
+  if (scheduler_.waiting() > 0) WakeScheduler();
+}
+
+bool DispatchFront::IsIdle() const {
+  if (!streams_.empty() || scheduler_.waiting() != 0) return false;
+  return backends_.OwnUse().empty();
+}
+
+void DispatchFront::WakeScheduler() {
+  if (is_woken_) return;
+  is_woken_ = true;
+  queue_.After(absl::ZeroDuration(), [this] {
+    is_woken_ = false;
+    RunScheduler();
+  });
+}
+
+void DispatchFront::RunScheduler() {
+  for (const StreamDecision& decision : scheduler_.Decide(queue_.now())) {
+    std::visit(Overloaded{
+                   [&](const StreamPlacement& it) {
+                     auto stream = streams_.find(it.id);
+                     if (stream == streams_.end()) {
+                       scheduler_.ReleasePrompt(it);
+                       scheduler_.ReleaseDecode(it);
+                       return;
+                     }
+                     stream->second->lifecycle().OnPlaced(it, queue_.now());
+                   },
+                   [&](const StreamRefusal& it) {
+                     auto stream = streams_.find(it.id);
+                     if (stream == streams_.end()) return;
+                     stream->second->lifecycle().OnRefused(it);
+                   },
+               },
+               decision);
+  }
+  if (scheduler_.waiting() == 0 || is_ticking_) return;
+  is_ticking_ = true;
+  queue_.After(kSchedulerTick, [this] {
+    is_ticking_ = false;
+    RunScheduler();
+  });
+}
+
+bool DispatchFront::TakeRepeat() {
+  if (!quota_.TryTake(options_.service, queue_.now())) return false;
+  repeats_.push_back(queue_.now());
+  return true;
+}
+
+void DispatchFront::Remove(ExchangeId id) {
+  auto it = streams_.find(id);
+  if (it == streams_.end()) return;
+  // Shared, since a callback must be copyable.
+  std::shared_ptr<Stream> stream = std::move(it->second);
+  streams_.erase(it);
+  queue_.After(absl::ZeroDuration(), [stream] {});
+}
+
+}  // namespace chervilwick
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -53,9 +53,15 @@
 }
 
 void PlainRelay::Send() {
-  BackendState* backend =
-      ChooseForCall(context().backends, admitted().service,
-                    ZoneName(context().settings.zone), tried_, Now());
+  ZoneName zone(context().settings.zone);
+  BackendState* backend = ChooseForCall(context().backends, admitted().service,
+                                        zone, tried_, Now());
+  // A server that answered with a failure may succeed the next time; it is
+  // asked again if there is no other.
+  if (backend == nullptr && failure_answer_ && attempts_.empty()) {
+    backend = ChooseForCall(context().backends, admitted().service, zone,
+                            broken_, Now());
+  }
   if (backend == nullptr) {
     if (!attempts_.empty()) return;
     if (failure_answer_) {
@@ -127,6 +133,7 @@
 
 void PlainRelay::OnFailure(uint32_t number, const CallFailure& failure) {
   Attempt attempt = Take(number);
+  broken_.insert(attempt.backend);
   context().backends.ReportFailure(attempt.backend, Now());
   if (!failure.sent) {
     --runs_;
--- a/lib/net/http_target.cc
+++ b/lib/net/http_target.cc
@@ -35,7 +35,7 @@
   HttpTarget parsed;
   std::pair<absl::string_view, absl::string_view> parts =
       absl::StrSplit(target, absl::MaxSplits('?', 1));
-  parsed.path = std::string(parts.first);
+  parsed.path.assign(parts.first.data(), parts.first.size());
   for (absl::string_view it :
        absl::StrSplit(parts.second, '&', absl::SkipEmpty())) {
     std::pair<absl::string_view, absl::string_view> param =
--- a/tools/chervilwick-bench/main.cc
+++ b/tools/chervilwick-bench/main.cc
@@ -11,8 +11,11 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
 #include "capacity_bench.h"
+#include "chervilwick/emulator/day.h"
 #include "chervilwick/kernel/duty.h"
+#include "day_bench.h"
 #include "load_bench.h"
 #include "policy_bench.h"
 
@@ -36,6 +39,14 @@
 DEFINE_uint32(tokens, 100, "load: tokens of each answer");
 DEFINE_string(spread, "1s",
               "load: time over which the first requests are sent");
+DEFINE_string(days, "", "day: names, with commas; all if empty");
+DEFINE_string(policies, "dispatch,round-robin,least-requests,two-choices",
+              "day: names, with commas");
+DEFINE_string(changes, "",
+              "day: changed options, name=value with commas: memory_fill, "
+              "late_memory_fill, max_prompt_backlog_ms, failure_load, "
+              "requests_per_second, fronts, prefill_engines, decode_engines");
+DEFINE_string(plot, "", "day: SVG file for the first seed's days");
 DEFINE_bool(json, false, "print one JSON object per run");
 
 namespace chervilwick {
@@ -125,6 +136,22 @@
   return RunLoadBench(options);
 }
 
+std::vector<std::string> Names(const std::string& flag) {
+  return absl::StrSplit(flag, ',', absl::SkipEmpty());
+}
+
+int RunDays() {
+  DayBenchOptions options;
+  options.days = FLAGS_days.empty() ? DayNames() : Names(FLAGS_days);
+  options.policies = Names(FLAGS_policies);
+  options.changes = Names(FLAGS_changes);
+  options.first_seed = FLAGS_seed;
+  options.seeds = std::max<uint64_t>(1, FLAGS_seeds);
+  options.plot = FLAGS_plot;
+  options.threads = std::thread::hardware_concurrency();
+  return RunDayBench(options) ? 0 : kUsageError;
+}
+
 int RunPolicies() {
   if (!IsKnownScenario(OptionsFor(FLAGS_seed)) || FLAGS_seeds == 0) {
     std::fprintf(stderr, "unknown deployment, scenario or policy\n");
@@ -159,19 +186,25 @@
       "Measures the decisions of the cores under virtual time.\n"
       "Usage: chervilwick-bench policy [--deployment=D] [--scenario=S] "
       "[--policy=P] [--seed=N] [--seeds=N] [--json]\n"
+      "       chervilwick-bench day [--days=D,...] [--policies=P,...] "
+      "[--seed=N] [--seeds=N] [--changes=NAME=VALUE,...] [--plot=FILE]\n"
       "       chervilwick-bench load --target=IP:PORT --model=M [--streams=N]\n"
       "       chervilwick-bench capacity");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc == 2 && std::strcmp(argv[1], "policy") == 0) {
     return chervilwick::RunPolicies();
   }
+  if (argc == 2 && std::strcmp(argv[1], "day") == 0) {
+    return chervilwick::RunDays();
+  }
   if (argc == 2 && std::strcmp(argv[1], "load") == 0) {
     return chervilwick::RunLoad();
   }
   if (argc == 2 && std::strcmp(argv[1], "capacity") == 0) {
     return chervilwick::RunCapacityBench();
   }
-  std::fprintf(stderr,
-               "usage: chervilwick-bench policy|load|capacity, see --help\n");
+  std::fprintf(
+      stderr,
+      "usage: chervilwick-bench day|policy|load|capacity, see --help\n");
   return 2;
 }
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -110,6 +110,7 @@
   void StartAndReadPrompt() {
     lifecycle.Start(now);
     Schedule();
+    REQUIRE(port.prompts.size() == 1);
     now += kStep;
     lifecycle.OnPromptRead(now);
   }
@@ -316,5 +317,43 @@
   it.CheckNothingHeld();
 }
 
+// Engines that read prompts answer, so they are trusted, but none of those that
+// generate is.
+TEST_CASE("distrusted decoding engines are better than none", "[dispatch]") {
+  Stream it;
+  for (int n = 0; n < 5; ++n) {
+    BackendName id("d" + std::to_string(n));
+    for (int failures = 0; failures < 3; ++failures) {
+      it.table.ReportFailure(id, it.now);
+    }
+  }
+  it.StartAndReadPrompt();
+  CHECK(it.port.decodes.size() == 1);
+  it.CheckNothingHeld();
+}
+
+TEST_CASE("the only decoding engine is offered a stream again", "[dispatch]") {
+  Stream it(/*resumable=*/false, /*decode_engines=*/1);
+  it.StartAndReadPrompt();
+  it.lifecycle.OnDecodeNotRun(/*is_wrong_server=*/false, it.now);
+  it.now += absl::Milliseconds(1100);  // it said that it was full
+  it.Schedule();
+  CHECK(it.port.decodes.size() == 2);
+  it.CheckNothingHeld();
+}
+
+TEST_CASE("a prompt that the only reader failed is read where it decodes",
+          "[dispatch]") {
+  Stream it;
+  it.table.Remove(BackendName("p1"));
+  it.table.Remove(BackendName("p2"));
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  it.lifecycle.OnPromptFailed(/*is_refused=*/false, it.now);
+  it.Schedule();
+  REQUIRE(it.port.prompts.size() + it.port.decodes.size() == 2);
+  it.CheckNothingHeld();
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -162,6 +162,10 @@
   size_t Runs(const std::string& id) const {
     return engines.at(id)->runs().size();
   }
+  void RemoveServer(const std::string& id) {
+    store.Remove("servers/" + id);
+    loop.RunFor(absl::Milliseconds(200));
+  }
   void SetFaults(const std::vector<std::string>& ids, Fault fault,
                  int count = 1000000) {
     for (const std::string& it : ids) engines.at(it)->SetFault(fault, count);
@@ -275,6 +279,20 @@
   CHECK(failed.head.Find("X-Response-Stamp") != nullptr);
 }
 
+// With one server left there is no other to repeat at.
+TEST_CASE("a lookup that failed is repeated at the only server", "[front]") {
+  Deployment it;
+  it.Start();
+  it.SetFaults({"s1"}, Fault::kFail, 1);
+  it.RemoveServer("s2");
+  CHECK(it.Get("GET", "/check/x").status == 200);
+  CHECK(it.Runs("s1") == 2);
+  // Not one that broke off: the request may be what breaks it.
+  it.SetFaults({"s1"}, Fault::kLoseAnswer, 1);
+  CHECK(it.Get("GET", "/check/x").status == 502);
+  CHECK(it.Runs("s1") == 3);
+}
+
 TEST_CASE("a success that no engine vouches for is not passed on", "[front]") {
   Deployment it;
   it.Start();
