Do not book twice after an answer that proves nothing

Cause: a success without the server's proof was sent again whatever the route: the argument that says whether a repeat costs budget was given whether the request may run again. A booking ran twice. Change: only what may run again is sent again; a booking gets 502. The emulator also counts prompts read in vain and varies how often fronts tell each other of their use.

--- a/include/chervilwick/emulator/day.h
+++ b/include/chervilwick/emulator/day.h
@@ -55,6 +55,8 @@
   uint32_t fronts = 4;
   uint32_t prefill_engines = 3;
   uint32_t decode_engines = 9;
+  // Fronts tell each other of their use that often.
+  absl::Duration exchange_interval = absl::Milliseconds(50);
   absl::Duration length = absl::Seconds(60);
   double requests_per_second = 12;
   std::vector<DemandSurge> surges;
@@ -104,6 +106,7 @@
   uint64_t tries = 0;  // requests as fronts saw them
   uint64_t repeats = 0;
   uint64_t preemptions = 0;
+  uint64_t prompts_wasted = 0;  // read for no run
   std::vector<DaySample> samples;  // by second
 
   // ---- Broken invariants; empty on a sound day ----
--- a/include/chervilwick/emulator/engine_model.h
+++ b/include/chervilwick/emulator/engine_model.h
@@ -91,6 +91,9 @@
   size_t running() const { return streams_.size(); }
   int64_t memory_used() const { return memory_used_; }
   uint64_t preemptions() const { return preemptions_; }
+  uint64_t prompts_read() const { return prompts_read_; }
+  // Runs whose prompt another engine had read.
+  uint64_t prompts_taken() const { return prompts_taken_; }
   // Runs begun for a request.
   const std::map<uint64_t, uint32_t>& runs() const { return runs_; }
 
@@ -135,6 +138,8 @@
   bool is_stepping_ = false;
   int64_t memory_used_ = 0;
   uint64_t preemptions_ = 0;
+  uint64_t prompts_read_ = 0;
+  uint64_t prompts_taken_ = 0;
   std::map<uint64_t, uint32_t> runs_;
 };
 
--- a/lib/emulator/day.cc
+++ b/lib/emulator/day.cc
@@ -21,8 +21,6 @@
 constexpr absl::Duration kDiscoveryDelay = absl::Milliseconds(150);
 // The entry of an engine that crashed lapses after that time.
 constexpr absl::Duration kLapse = absl::Milliseconds(1500);
-// Fronts tell each other of their use that often.
-constexpr absl::Duration kExchangeInterval = absl::Milliseconds(50);
 constexpr absl::Duration kSampleInterval = absl::Milliseconds(100);
 constexpr absl::Duration kIdealTick = absl::Milliseconds(10);
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(100);
@@ -141,7 +139,7 @@
   }
   std::vector<FrontModel*> all;
   for (const auto& it : fronts_) all.push_back(it.get());
-  Every(kExchangeInterval, [all] {
+  Every(options_.exchange_interval, [all] {
     for (FrontModel* it : all) it->Exchange(all);
   });
 }
@@ -434,9 +432,13 @@
     report_.ideal += report_.samples[it].ideal;
   }
   report_.tries = tries_.size();
+  uint64_t taken = 0;
   for (const auto& it : engines_) {
     report_.preemptions += it.second->preemptions();
+    report_.prompts_wasted += it.second->prompts_read();
+    taken += it.second->prompts_taken();
   }
+  report_.prompts_wasted -= std::min(taken, report_.prompts_wasted);
   if (!first_events_.empty()) {
     std::sort(first_events_.begin(), first_events_.end());
     report_.first_event_p50 = first_events_[first_events_.size() / 2];
--- a/lib/emulator/engine_model.cc
+++ b/lib/emulator/engine_model.cc
@@ -53,6 +53,7 @@
 
 void EngineModel::FinishPrompt(uint64_t id) {
   is_reading_ = false;
+  ++prompts_read_;
   // A prompt whose caller left was read in vain.
   if (!prompts_.empty() && prompts_.front().id == id) {
     PromptHandler handler = std::move(prompts_.front().handler);
@@ -77,6 +78,7 @@
     return id;
   }
   ++runs_[run.request];
+  if (run.has_handle) ++prompts_taken_;
   Stream stream;
   stream.id = id;
   stream.run = run;
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -193,7 +193,11 @@
   }
   if (IsSuccess(status) && !facts.is_engines_own) {
     Log("unproven_answer", attempt.backend.value(), "no receipt");
-    SendAgainOrEnd(MayRunAgain(), {502, "unproven_answer"});
+    if (MayRunAgain()) {
+      SendAgainOrEnd(/*costs_repeat=*/true, {502, "unproven_answer"});
+    } else if (attempts_.empty()) {
+      End({502, "unproven_answer"});
+    }
     return;
   }
   context().suspects.Clear(admitted().fingerprint);
--- a/tools/chervilwick-bench/main.cc
+++ b/tools/chervilwick-bench/main.cc
@@ -45,7 +45,8 @@
 DEFINE_string(changes, "",
               "day: changed options, name=value with commas: memory_fill, "
               "late_memory_fill, max_prompt_backlog_ms, failure_load, "
-              "requests_per_second, fronts, prefill_engines, decode_engines");
+              "requests_per_second, exchange_ms, memory_tokens, fronts, "
+              "prefill_engines, decode_engines");
 DEFINE_string(plot, "", "day: SVG file for the first seed's days");
 DEFINE_bool(json, false, "print one JSON object per run");
 
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -283,6 +283,7 @@
   if (fault == Fault::kRefuse) {
     Refuse(id, request, 503);
   } else if (fault == Fault::kNeverAnswer) {
+    if (request.head.Get("X-Stage") == "prefill") return;
     runs_.push_back({request.head.Get("X-Request-Id"), "", false, false});
   } else if (options_.stage.empty()) {
     Plain(id, request, fault);
