Look for places at different times after another front's update

Change: after an update each front looks at a random time within 12 ms, so that it hears of those before it. The scheduler's timer keeps the earliest time that was asked for; before, each wake-up put it off again.

--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -87,6 +87,11 @@
   absl::Duration max_retry_after = absl::Seconds(4);
 };
 
+// When to look for places after another front told of its use. Fronts hear of a
+// freed place together; looking at different times, each hears of the
+// placements of those before it. `draw` is uniform over all values.
+absl::Duration DelayAfterPeerUse(uint64_t draw);
+
 // Answers demand that doubles within seconds while engines fail or drain:
 // streams that can still meet their objective go first, by due time; those that
 // can't use what is left; what can't be served within its client's patience is
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -56,6 +56,8 @@
   void OnDigest(const PeerDigest& digest, const Endpoint& from);
   void FetchPeerCopy();
   void RunScheduler();
+  // Has the scheduler run within that time, or sooner if it is due.
+  void WakeScheduler(absl::Duration delay);
   void Housekeep();
   void ReloadSettings();
   void ApplyLimits();
@@ -75,6 +77,7 @@
   PeerLink peers_;
   StageKeeper stages_;
   Timer scheduler_wake_;
+  absl::Time scheduler_due_ = absl::InfiniteFuture();
   absl::BitGen random_;
   RouteTable table_;
   std::map<ExchangeId, std::unique_ptr<Relay>> relays_;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -21,6 +21,10 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(200);
 // Memory that an engine is assumed to have if the configuration tells none.
 constexpr uint64_t kDefaultMemoryTokens = 32768;
+// Fronts spread their looks over this time: a dozen of them, and a millisecond
+// for each one's word to reach the others.
+constexpr absl::Duration kPeerUseSpread = absl::Milliseconds(12);
+constexpr uint64_t kPeerUseSteps = 128;
 
 double Learn(double old_value, double sample, double low, double high) {
   double value = old_value + kLearningRate * (sample - old_value);
@@ -61,6 +65,11 @@
 
 }  // namespace
 
+absl::Duration DelayAfterPeerUse(uint64_t draw) {
+  return kPeerUseSpread * static_cast<double>(draw % kPeerUseSteps) /
+         static_cast<double>(kPeerUseSteps);
+}
+
 StreamScheduler::StreamScheduler(BackendTable& backends, ZoneName zone,
                                  const StreamSchedulerOptions& options)
     : backends_(backends),
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -223,6 +223,7 @@
       name_(std::move(name)),
       options_(options),
       scheduler_(backends_, ZoneName("a"), options.scheduler),
+      random_(options.seed),
       quota_({options.retry_ratio, options.retry_slack, absl::Seconds(10)}) {
   quota_.SetFronts(options.fronts);
   ServiceTraits traits;
@@ -274,7 +275,8 @@
     waiting += front->waiting();
   }
   scheduler_.SetPeersWaiting(waiting);
-  if (scheduler_.waiting() > 0) WakeScheduler();
+  if (scheduler_.waiting() == 0) return;
+  queue_.After(DelayAfterPeerUse(random_()), [this] { WakeScheduler(); });
 }
 
 bool DispatchFront::IsIdle() const {
--- a/lib/emulator/dispatch_front.h
+++ b/lib/emulator/dispatch_front.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,7 @@
   const FrontModelOptions options_;
   BackendTable backends_;
   StreamScheduler scheduler_;
+  std::mt19937_64 random_;
   RetryQuota quota_;
   CrashSuspects suspects_;
   std::map<ExchangeId, std::unique_ptr<Stream>> streams_;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -132,9 +132,7 @@
               }),
       scheduler_wake_(loop_, [this] { RunScheduler(); }) {
   context_.server = &clients_;
-  context_.wake_scheduler = [this] {
-    scheduler_wake_.Arm(absl::ZeroDuration());
-  };
+  context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
   };
@@ -277,7 +275,15 @@
   started->Start();
 }
 
+void FrontDaemon::WakeScheduler(absl::Duration delay) {
+  absl::Time due = loop_.Now() + delay;
+  if (scheduler_due_ <= due) return;
+  scheduler_due_ = due;
+  scheduler_wake_.Arm(delay);
+}
+
 void FrontDaemon::RunScheduler() {
+  scheduler_due_ = absl::InfiniteFuture();
   std::vector<StreamDecision> decisions =
       context_.scheduler.Decide(loop_.Now());
   for (const StreamDecision& decision : decisions) {
@@ -301,7 +307,7 @@
                decision);
   }
   if (!decisions.empty()) peers_.AnnounceUse();
-  if (context_.scheduler.waiting() > 0) scheduler_wake_.Arm(kSchedulerTick);
+  if (context_.scheduler.waiting() > 0) WakeScheduler(kSchedulerTick);
 }
 
 void FrontDaemon::OnTable(const RouteTable& table) {
@@ -388,7 +394,8 @@
     peer_revision_ = digest.store_revision;
     newest_peer_ = from;
   }
-  if (context_.scheduler.waiting() > 0) context_.wake_scheduler();
+  if (context_.scheduler.waiting() == 0) return;
+  WakeScheduler(DelayAfterPeerUse(absl::Uniform<uint64_t>(random_)));
 }
 
 void FrontDaemon::FetchPeerCopy() {
