--- a/lib/emulator/day.cc
+++ b/lib/emulator/day.cc
@@ -29,6 +29,8 @@
 constexpr absl::Duration kBudgetWindow = absl::Seconds(10);
 // Highest multiple of the mean demand that is drawn from.
 constexpr double kMaxFactor = 8;
+// Mean of 2^x for x uniform over [-1, 1], by which sizes vary.
+constexpr double kMeanOfPower = 1.082;
 
 class DayPlayer {
  public:
@@ -172,8 +174,9 @@
   BackendName id = names_[fault.engine % names_.size()];
   if (!engines_[id]->is_up()) return;
   engines_[id]->Crash();
-  if (fault.length > kLapse)
+  if (fault.length > kLapse) {
     queue_.After(kLapse, [this, id] { TellRemoved(id); });
+  }
   queue_.After(fault.length, [this, id] {
     engines_[id]->Restart();
     ++records_[id].born_unix_ms;
@@ -243,8 +246,9 @@
     absl::Duration at = queue_.now() - start_;
     if (at > options_.length) return;
     double draw = std::uniform_real_distribution<double>()(demand_random_);
-    if (draw < FactorAt(at) / kMaxFactor)
+    if (draw < FactorAt(at) / kMaxFactor) {
       queue_.After(ToNextBatch(at), [this] { Arrive(); });
+    }
     NextArrival();
   });
 }
@@ -259,8 +263,6 @@
 int64_t DayPlayer::DrawSize(int64_t mean) {
   double exponent =
       std::uniform_real_distribution<double>(-1, 1)(demand_random_);
-  // The mean of 2^x over [-1, 1] is 1.082.
-  constexpr double kMeanOfPower = 1.082;
   return std::max<int64_t>(1, std::llround(static_cast<double>(mean) *
                                            std::exp2(exponent) / kMeanOfPower));
 }
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -53,6 +53,20 @@
     ("old versions are not fenced", "lib/agent/agent_admission.cc",
      "if (now > superseded + options_.stale_version_grace) {",
      "if (now > superseded + absl::Hours(1)) {", "agent"),
+    ("a booking whose answer proves nothing is sent again", "lib/front/plain_relay.cc",
+     "if (MayRunAgain()) {\n      SendAgainOrEnd(/*costs_repeat=*/true, "
+     "{502, \"unproven_answer\"});",
+     "if (sends_ < kMaxSends) {\n      SendAgainOrEnd(/*costs_repeat=*/true, "
+     "{502, \"unproven_answer\"});", "front"),
+    ("placements are told late", "lib/front/front_daemon.cc",
+     "if (!decisions.empty()) peers_.AnnounceUse();", "", "front"),
+    ("distrusted engines are never used", "lib/dispatch/backend_table.cc",
+     "return trusted.empty() ? suspects : trusted;", "return trusted;", "dispatch"),
+    ("repeated sends beyond the budget", "lib/dispatch/retry_quota.cc",
+     "if (Left(service, now) < 1) return false;", "", "dispatch"),
+    ("places are not given back", "lib/dispatch/stream_lifecycle.cc",
+     "if (holds_decode_place_) services_.scheduler.ReleaseDecode(*placement_);", "",
+     "emulator"),
 ]
 
 
@@ -88,7 +102,8 @@
 def main():
     wanted = sys.argv[1:]
     copy = tempfile.mkdtemp(prefix="chervilwick-mutations-")
-    for it in ("CMakeLists.txt", "include", "lib", "tools", "unittests", "docs"):
+    for it in ("CMakeLists.txt", "include", "lib", "tools", "unittests", "docs", "platform",
+               "deploy"):
         source = os.path.join(ROOT, it)
         target = os.path.join(copy, it)
         (shutil.copytree if os.path.isdir(source) else shutil.copy)(source, target)
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 tests=(support kernel telemetry settings wire store config membership
-  limits routing ledger engine net dispatch platform front agent entry fuzz)
+  limits routing ledger engine net dispatch emulator platform front agent entry fuzz)
 threaded=(kernel telemetry wire store net agent entry)
 
 run_with() {
--- a/tools/chervilwick-bench/day_plot.cc
+++ b/tools/chervilwick-bench/day_plot.cc
@@ -63,11 +63,11 @@
   absl::StrAppend(&out, Text(left, top - 6, panel.title),
                   Text(left + 2, top + 11, absl::StrFormat("%.4g", most)));
   double name_at = left + kWidth - 4;
+  double last = static_cast<double>(std::max<size_t>(2, samples.size())) - 1;
   for (const Line& line : panel.lines) {
     std::string points;
     for (size_t it = 0; it < samples.size(); ++it) {
-      double x = left + kWidth * static_cast<double>(it) /
-                            std::max<double>(1, samples.size() - 1.0);
+      double x = left + kWidth * static_cast<double>(it) / last;
       double y = top + kHeight * (1 - line.value(samples[it]) / most);
       absl::StrAppendFormat(&points, "%.1f,%.1f ", x, y);
     }
