--- a/unittests/emulator/day_test.cc
+++ b/unittests/emulator/day_test.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_join.h"
+
 namespace chervilwick {
 namespace {
 
@@ -21,10 +23,15 @@
   return day;
 }
 
+void CheckSound(const DayReport& report) {
+  INFO(absl::StrJoin(report.violations, "; "));
+  CHECK(report.violations.empty());
+}
+
 uint64_t OnTime(DayOptions day, FrontPolicy policy) {
   day.front.policy = policy;
   DayReport report = PlayDay(day);
-  CHECK(report.violations == std::vector<std::string>{});
+  CheckSound(report);
   return report.counts.on_time;
 }
 
@@ -35,7 +42,7 @@
 
 TEST_CASE("a calm day is served whole and on time", "[emulator]") {
   DayReport report = PlayDay(NamedDay("calm"));
-  CHECK(report.violations == std::vector<std::string>{});
+  CheckSound(report);
   CHECK(report.counts.on_time == report.counts.asked);
   CHECK(report.counts.asked > 500);
   CHECK(report.repeats == 0);
@@ -86,7 +93,7 @@
   DayReport told = PlayDay(day);
   day.front.announces = false;
   DayReport untold = PlayDay(day);
-  CHECK(told.violations == std::vector<std::string>{});
+  CheckSound(told);
   CHECK(2 * told.prompts_wasted < untold.prompts_wasted);
   CHECK(told.counts.on_time > untold.counts.on_time);
 }
@@ -125,7 +132,7 @@
           DrawFault(it, day.prefill_engines + day.decode_engines));
     }
     DayReport report = PlayDay(day);
-    RC_ASSERT(report.violations == std::vector<std::string>{});
+    RC_ASSERT(report.violations.empty());
   });
 }
 
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -433,7 +433,8 @@
   for (int n = 1; n <= 7; ++n) {
     absl::Time asked = it.loop.Now();
     it.Ask("POST", "/note/x");
-    while (used() < 4100 * n && it.loop.Now() - asked < absl::Seconds(1)) {
+    while (used() < 4100 * int64_t{n} &&
+           it.loop.Now() - asked < absl::Seconds(1)) {
       it.loop.RunFor(absl::Milliseconds(1));
     }
     waits.push_back(it.loop.Now() - asked);
--- a/unittests/front/played_day_test.cc
+++ b/unittests/front/played_day_test.cc
@@ -115,11 +115,11 @@
       const char* method;
       const char* path;
     };
-    constexpr Kind kKinds[] = {{"POST", "/book/"},
-                               {"GET", "/check/"},
-                               {"POST", "/note/"},
-                               {"POST", "/report/"}};
-    const Kind& kind = kKinds[Draw(4)];
+    constexpr Kind kinds[] = {{"POST", "/book/"},
+                              {"GET", "/check/"},
+                              {"POST", "/note/"},
+                              {"POST", "/report/"}};
+    const Kind& kind = kinds[Draw(4)];
     const std::string& front =
         Draw(2) == 0 ? day_.settings.clients : peer_settings_.clients;
     auto answer = day_.Ask(kind.method, absl::StrCat(kind.path, "x"), front);
@@ -130,10 +130,10 @@
     ++harms_;
     static const auto& names = *new std::vector<std::string>{
         "p1", "p2", "d1", "d2", "d3", "s1", "s2", "s3"};
-    constexpr Fault kFaults[] = {Fault::kRefuse,       Fault::kLoseAnswer,
-                                 Fault::kBreakMidway,  Fault::kFail,
-                                 Fault::kNeverAnswer,  Fault::kNoStamp,
-                                 Fault::kForeignAnswer};
+    constexpr Fault faults[] = {Fault::kRefuse,       Fault::kLoseAnswer,
+                                Fault::kBreakMidway,  Fault::kFail,
+                                Fault::kNeverAnswer,  Fault::kNoStamp,
+                                Fault::kForeignAnswer};
     const std::string& name = names[Draw(8)];
     switch (Draw(6)) {
       case 0:
@@ -153,7 +153,7 @@
         return;
       }
       default:
-        day_.SetFaults({name}, kFaults[Draw(7)], 1 + static_cast<int>(Draw(4)));
+        day_.SetFaults({name}, faults[Draw(7)], 1 + static_cast<int>(Draw(4)));
     }
   }
 
--- a/unittests/net/http_service_test.cc
+++ b/unittests/net/http_service_test.cc
@@ -94,6 +94,7 @@
   ExchangeId id(asked);
   REQUIRE(it.Post([&, id] { service->server().BeginStream(id, 200, {}); }));
   std::vector<std::thread> threads;
+  threads.reserve(2);
   for (int n = 0; n < 2; ++n) {
     threads.emplace_back([&, id] {
       for (int part = 0; part < 100; ++part) {
