--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -145,8 +145,9 @@
                decision);
   }
   if (!decisions.empty()) peers_.AnnounceUse();
-  if (context_.scheduler.waiting() > 0)
+  if (context_.scheduler.waiting() > 0) {
     WakeScheduler(StreamScheduler::kLookInterval);
+  }
 }
 
 }  // namespace chervilwick
