--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -36,6 +36,8 @@
   StreamScheduler scheduler;
   RetryQuota quota;
   CrashSuspects suspects;
+  // Counts the time for which the host is suspended; leases run on meanwhile.
+  std::function<absl::Time()> boot_time;
   // Age of the list of backend servers and of the configuration.
   std::function<absl::Duration()> store_age;
   // Set by the daemon once it listens.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -3,12 +3,15 @@
 #ifndef CHERVILWICK_FRONT_FRONT_DAEMON_H_
 #define CHERVILWICK_FRONT_FRONT_DAEMON_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "absl/random/random.h"
+#include "absl/time/clock.h"
 #include "chervilwick/front/front_context.h"
 #include "chervilwick/front/peer_copy.h"
 #include "chervilwick/front/peer_link.h"
@@ -39,6 +42,10 @@
   void BeginShutdown();
   bool IsReady() const;
   const FrontContext& context() const { return context_; }
+  // In place of the host's clock that runs on in a suspension.
+  void SetBootClock(std::function<absl::Time()> clock) {
+    context_.boot_time = std::move(clock);
+  }
 
  private:
   void OnRequest(ExchangeId id, const Endpoint& client, HttpRequest request);
@@ -56,6 +63,8 @@
   // Has the scheduler run within that time, or sooner if it is due.
   void WakeScheduler(absl::Duration delay);
   void Housekeep();
+  // Ties the process's clock, by which lines are stamped, to the time of day.
+  void LogClock();
   void ReloadSettings();
   void ApplyLimits();
   void CheckShutdown();
@@ -80,6 +89,7 @@
   RouteTable table_;
   std::map<ExchangeId, std::unique_ptr<Relay>> relays_;
   std::map<ExchangeId, StreamRelay*> streams_;
+  const absl::Time started_ = absl::Now();
   bool stopping_ = false;
   bool was_ready_ = false;
   absl::Time stop_began_;
--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "absl/time/time.h"
 
@@ -29,6 +30,10 @@
 struct FrontStats {
   // Answers to clients, by route and what became of the request.
   std::map<std::pair<std::string, std::string>, uint64_t> outcomes;
+  // Refusals, by route and reason.
+  std::map<std::pair<std::string, std::string>, uint64_t> refusals;
+  // What went wrong at backend servers, by server and event of the log.
+  std::map<std::pair<std::string, std::string>, uint64_t> backend_trouble;
   std::map<std::string, LatencyCounts> answer_time;  // by route
   std::map<std::string, LatencyCounts> first_event;  // by route
   std::map<std::string, LatencyCounts> queue_time;   // by route
@@ -47,6 +52,8 @@
   void CountOutcome(const std::string& route, const std::string& outcome) {
     ++outcomes[{route, outcome}];
   }
+  // Servers come and go for as long as a front runs.
+  void ForgetBackend(const std::string& backend);
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -66,6 +66,9 @@
   void Finish(absl::string_view outcome, int status, absl::string_view reason);
   void Log(absl::string_view event, absl::string_view backend,
            absl::string_view detail);
+  // Logs and counts what went wrong at a backend server.
+  void LogTrouble(absl::string_view event, absl::string_view backend,
+                  absl::string_view detail);
   // Takes one repeated send out of the fleet's budget.
   bool TakeRepeat();
   bool is_finished() const { return is_finished_; }
--- a/include/chervilwick/telemetry/decision_log.h
+++ b/include/chervilwick/telemetry/decision_log.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
+#include <limits>
 #include <string>
 #include <variant>
 
@@ -30,9 +31,13 @@
   LogValue(absl::string_view n, uint64_t v)
       : name(n), value(static_cast<int64_t>(v)) {}
   LogValue(absl::string_view n, uint32_t v) : name(n), value(int64_t{v}) {}
-  // Milliseconds.
+  // Milliseconds; null if infinite.
   LogValue(absl::string_view n, absl::Duration v)
-      : name(n), value(absl::ToInt64Milliseconds(v)) {}
+      : name(n), value(absl::ToInt64Milliseconds(v)) {
+    if (v == absl::InfiniteDuration()) {
+      value = std::numeric_limits<double>::infinity();
+    }
+  }
 };
 
 // Buffers lines and writes them when the reader of the descriptor has room. A
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 
 namespace chervilwick {
 namespace {
@@ -18,6 +19,8 @@
 constexpr absl::Duration kHousekeeping = absl::Milliseconds(100);
 constexpr absl::Duration kSettingsCheck = absl::Seconds(1);
 constexpr absl::Duration kLogFlush = absl::Milliseconds(100);
+// A log that was cut off at its beginning gets its time of day back after it.
+constexpr absl::Duration kClockLine = absl::Minutes(1);
 // The balancer takes a host out after two probes a second apart; until then new
 // connections come.
 constexpr absl::Duration kBalancerDelay = absl::Milliseconds(2600);
@@ -153,6 +156,8 @@
                       {"clients", settings.clients},
                       {"store", settings.store},
                       {"seeds", settings.seeds}});
+  LogClock();
+  loop_.Every(kClockLine, [this] { LogClock(); });
   store_.Start();
   return std::nullopt;
 }
@@ -167,6 +172,12 @@
   return drained;
 }
 
+void FrontDaemon::LogClock() {
+  context_.log.Write(loop_.Now(), "clock",
+                     {{"wall", absl::FormatTime(absl::RFC3339_full, absl::Now(),
+                                                absl::UTCTimeZone())}});
+}
+
 bool FrontDaemon::IsReady() const {
   return !stopping_ && store_.has_table() && store_.has_backends();
 }
@@ -236,6 +247,7 @@
   }
   context_.client.Forget(known->record.endpoint);
   context_.backends.Remove(id);
+  context_.stats.ForgetBackend(id.value());
 }
 
 void FrontDaemon::OnReachable(bool reachable, absl::string_view why) {
@@ -262,6 +274,7 @@
     context_.log.Write(
         now, "backend",
         {{"backend", it.value()}, {"change", "gone after a store outage"}});
+    context_.stats.ForgetBackend(it.value());
   }
   peer_copy_.Tick();
   if (IsReady() && store_.is_reachable()) stages_.Tick();
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -59,6 +59,16 @@
                static_cast<double>(it.second),
                {{"route", it.first.first}, {"outcome", it.first.second}});
   }
+  for (const auto& it : stats.refusals) {
+    list.Count("front_refusals_total", "Requests that were refused.",
+               static_cast<double>(it.second),
+               {{"route", it.first.first}, {"reason", it.first.second}});
+  }
+  for (const auto& it : stats.backend_trouble) {
+    list.Count("front_backend_trouble_total", "Calls that went wrong.",
+               static_cast<double>(it.second),
+               {{"backend", it.first.first}, {"event", it.first.second}});
+  }
   for (const auto& it : stats.answer_time) {
     list.Histogram("front_answer_seconds", "Time to the end of the answer.",
                    it.second, {{"route", it.first}});
@@ -98,6 +108,8 @@
         stats.peer_datagrams_bad);
   count("front_backend_connections_total", "Connections made.",
         context_.client.connections_made());
+  list.Gauge("process_start_time_seconds", "Start, as Unix time.",
+             absl::ToDoubleSeconds(started_ - absl::UnixEpoch()));
   list.Gauge("front_in_flight", "Requests in flight.",
              static_cast<double>(relays_.size()));
   list.Gauge("front_waiting_streams", "Streams without a place.",
--- a/lib/front/front_stats.cc
+++ b/lib/front/front_stats.cc
@@ -22,4 +22,11 @@
   sum_seconds += seconds;
 }
 
+void FrontStats::ForgetBackend(const std::string& backend) {
+  auto it = backend_trouble.lower_bound({backend, ""});
+  while (it != backend_trouble.end() && it->first.first == backend) {
+    it = backend_trouble.erase(it);
+  }
+}
+
 }  // namespace chervilwick
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -136,16 +136,16 @@
   context().backends.ReportFailure(attempt.backend, Now());
   if (!failure.sent) {
     --runs_;
-    Log("not_sent", attempt.backend.value(), "connection failed");
+    LogTrouble("not_sent", attempt.backend.value(), "connection failed");
     SendAgainOrEnd(Cost::kNone, {503, "backend_unreachable", kRetryAfterNone});
     return;
   }
   if (failure.error == CallError::kClosed) {
     context().suspects.ReportBreak(admitted().fingerprint, Now());
   }
-  Log("broke_off", attempt.backend.value(),
-      failure.error == CallError::kMalformed ? "malformed answer"
-                                             : "connection closed");
+  LogTrouble("broke_off", attempt.backend.value(),
+             failure.error == CallError::kMalformed ? "malformed answer"
+                                                    : "connection closed");
   RepeatOrFail("backend_broke_off");
 }
 
@@ -194,14 +194,14 @@
     context().backends.ReportSuccess(attempt.backend, Now());
   }
   if (IsSuccess(status) && !facts.is_engines_own) {
-    Log("unproven_answer", attempt.backend.value(), "no receipt");
+    LogTrouble("unproven_answer", attempt.backend.value(), "no receipt");
     RepeatOrFail("unproven_answer");
     return;
   }
   context().suspects.Clear(admitted().fingerprint);
   if (status >= kFirstFailure && MayRunAgain()) {
     failure_answer_ = attempt;
-    Log("engine_failed", attempt.backend.value(), "repeating");
+    LogTrouble("engine_failed", attempt.backend.value(), "repeating");
     SendAgainOrEnd(Cost::kRepeat, {502, "backend_failed"});
     return;
   }
@@ -219,8 +219,8 @@
   } else {
     context().backends.ReportFull(backend, Now());
   }
-  Log("not_run", backend.value(),
-      is_wrong_server ? "another server has the address" : "full");
+  LogTrouble("not_run", backend.value(),
+             is_wrong_server ? "another server has the address" : "full");
   SendAgainOrEnd(Cost::kRepeat, {503, "backends_full", kRetryAfterFull});
 }
 
@@ -228,7 +228,7 @@
   if (!MayRunAgain() || attempts_.empty()) return;
   if (context().quota.Left(admitted().service, Now()) < kHedgeReserve) return;
   if (!TakeRepeat()) return;
-  Log("slow", attempts_.begin()->second.backend.value(), "second run");
+  LogTrouble("slow", attempts_.begin()->second.backend.value(), "second run");
   Send();
 }
 
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -3,6 +3,7 @@
 #include "chervilwick/front/relay.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -16,6 +17,12 @@
 // leave its outcome unknown.
 constexpr absl::Duration kMaxIdleRunOnce = absl::Seconds(1);
 
+absl::Time BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
 }  // namespace
 
 FrontContext::FrontContext(EventLoop& event_loop,
@@ -30,7 +37,8 @@
       scheduler(backends, ZoneName(front_settings.zone),
                 StreamSchedulerOptions()),
       quota({front_settings.retry_ratio, front_settings.retry_slack,
-             front_settings.retry_window}) {}
+             front_settings.retry_window}),
+      boot_time(BootTime) {}
 
 Relay::Relay(FrontContext& context, AdmittedRequest admitted, Finished finished)
     : context_(context),
@@ -84,8 +92,12 @@
     response.fields.push_back(context_.protocol.RetryAfter(ending.retry_after));
   }
   context_.server->Respond(admitted_.id, response);
-  Finish(ending.status == 503 ? "refused" : "failed", ending.status,
-         ending.reason);
+  bool is_refused = ending.status == 503;
+  if (is_refused) {
+    ++context_.stats
+          .refusals[{admitted_.route.name, std::string(ending.reason)}];
+  }
+  Finish(is_refused ? "refused" : "failed", ending.status, ending.reason);
 }
 
 void Relay::Finish(absl::string_view outcome, int status,
@@ -116,6 +128,12 @@
                       {"at_ms", Elapsed()}});
 }
 
+void Relay::LogTrouble(absl::string_view event, absl::string_view backend,
+                       absl::string_view detail) {
+  ++context_.stats.backend_trouble[{std::string(backend), std::string(event)}];
+  Log(event, backend, detail);
+}
+
 bool Relay::TakeRepeat() {
   if (context_.quota.TryTake(admitted_.service, Now())) {
     ++context_.stats.repeated_sends;
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -2,7 +2,6 @@
 
 #include "chervilwick/front/stage_keeper.h"
 
-#include <ctime>
 #include <memory>
 #include <utility>
 
@@ -27,13 +26,6 @@
 constexpr absl::Duration kChangeMargin = absl::Milliseconds(500);
 constexpr int kOk = 200;
 
-// Counts the time for which the host is suspended; leases run on meanwhile.
-absl::Time BootTime() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return absl::TimeFromTimespec(now);
-}
-
 }  // namespace
 
 StageKeeper::StageKeeper(FrontContext& context,
@@ -56,14 +48,14 @@
     if (!change) continue;
     auto ordered = ordered_.find(change->backend);
     bool is_open = ordered != ordered_.end() &&
-                   BootTime() - ordered->second < kOrderPatience;
+                   context_.boot_time() - ordered->second < kOrderPatience;
     if (!is_open) return change;
   }
   return std::nullopt;
 }
 
 void StageKeeper::Tick() {
-  absl::Time now = BootTime();
+  absl::Time now = context_.boot_time();
   if (state_ == State::kHolding) {
     if (now >= lease_ends_) {
       GiveUp("lease over");
@@ -99,7 +91,10 @@
                   ++context_.stats.store_calls[absl::StrCat(answer->status)];
                   done(answer->status, answer->body);
                 },
-                [&](CallFailure&) { done(0, ""); },
+                [&](CallFailure&) {
+                  ++context_.stats.store_calls["none"];
+                  done(0, "");
+                },
             },
             event);
       });
@@ -108,8 +103,9 @@
 void StageKeeper::Lease() {
   state_ = State::kLeasing;
   // Fronts that start together don't all ask.
-  next_try_ = BootTime() + kRetryTime * absl::Uniform(random_, 1.0, 2.0);
-  lease_sent_ = BootTime();
+  next_try_ =
+      context_.boot_time() + kRetryTime * absl::Uniform(random_, 1.0, 2.0);
+  lease_sent_ = context_.boot_time();
   timeout_.Arm(kCallTimeout);
   CallStore(context_.protocol.GrantLease(kLeaseTime),
             [this](int status, const std::string& body) {
@@ -141,7 +137,7 @@
               state_ = State::kHolding;
               fence_ = *revision;
               lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
-              may_order_at_ = BootTime() + kSettleTime;
+              may_order_at_ = context_.boot_time() + kSettleTime;
               context_.log.Write(context_.loop.Now(), "stage_duty",
                                  {{"held", true}, {"fence", fence_}});
             });
@@ -150,7 +146,7 @@
 void StageKeeper::Renew() {
   if (renewing_) return;
   renewing_ = true;
-  absl::Time sent = BootTime();
+  absl::Time sent = context_.boot_time();
   CallStore(context_.protocol.KeepLease(lease_),
             [this, sent](int status, const std::string& /*body*/) {
               renewing_ = false;
@@ -168,7 +164,7 @@
   std::optional<StageChange> change = NextChange();
   if (!change) return;
   const BackendState* backend = context_.backends.Find(change->backend);
-  ordered_[change->backend] = BootTime();
+  ordered_[change->backend] = context_.boot_time();
   const EngineTraits* traits = context_.engine_traits(backend->record.service);
   absl::Duration change_time =
       traits == nullptr ? EngineTraits().change_time : traits->change_time;
@@ -200,7 +196,7 @@
   }
   state_ = State::kIdle;
   renewing_ = false;
-  next_try_ = std::max(next_try_, BootTime() + kRetryTime);
+  next_try_ = std::max(next_try_, context_.boot_time() + kRetryTime);
 }
 
 }  // namespace chervilwick
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -163,7 +163,7 @@
 
 void StreamRelay::OnPromptFailed(absl::string_view why, bool is_refused) {
   EndCall();
-  Log("prefill_failed", lifecycle_.placement().prefill->value(), why);
+  LogTrouble("prefill_failed", lifecycle_.placement().prefill->value(), why);
   lifecycle_.OnPromptFailed(is_refused, Now());
 }
 
@@ -225,7 +225,8 @@
   const std::string& engine = lifecycle_.placement().decode.value();
   AnswerFacts facts = context().protocol.ReadAnswer(head_);
   if (facts.is_not_run) {
-    Log("decode_refused", engine, handle_ ? "full or prompt gone" : "full");
+    LogTrouble("decode_refused", engine,
+               handle_ ? "full or prompt gone" : "full");
     lifecycle_.OnDecodeNotRun(facts.is_wrong_server, Now());
     return;
   }
@@ -253,8 +254,8 @@
 
 void StreamRelay::OnDecodeBroken(const CallFailure& failure) {
   EndCall();
-  Log("decode_broke_off", lifecycle_.placement().decode.value(),
-      failure.sent ? "connection closed" : "not sent");
+  LogTrouble("decode_broke_off", lifecycle_.placement().decode.value(),
+             failure.sent ? "connection closed" : "not sent");
   lifecycle_.OnDecodeBroken(failure.sent, failure.error == CallError::kClosed,
                             Now());
 }
@@ -266,7 +267,8 @@
     return;
   }
   if (lifecycle_.phase() != Phase::kDecode) return;
-  Log("decode_silent", lifecycle_.placement().decode.value(), "no bytes");
+  LogTrouble("decode_silent", lifecycle_.placement().decode.value(),
+             "no bytes");
   switch (lifecycle_.OnDecodeSilent(Now())) {
     case StreamLifecycle::SilenceVerdict::kIgnore:
       return;
--- /dev/null
+++ b/lib/telemetry/log_timeline.cc
@@ -0,0 +1,211 @@
+// What decision logs tell of a stretch of time.
+
+#include "chervilwick/telemetry/log_timeline.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "chervilwick/telemetry/log_line.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr char kTimeFormat[] = "%H:%M:%E3S";
+// Columns of a table; a longer stretch of time gets longer steps.
+constexpr int64_t kMaxSteps = 400;
+
+struct TimedLine {
+  absl::Time at;
+  LogLine line;
+};
+
+bool IsChange(const std::string& event) {
+  static const auto* const kEvents = new std::set<std::string>(
+      {"start", "stopping", "stop", "reload", "reload_failed", "store_lost",
+       "store_regained", "store_history_gone", "peer_lost", "stage_duty",
+       "stage_order", "readiness", "log_lines_dropped"});
+  return kEvents->count(event) != 0;
+}
+
+// Events of one backend server that are told apart by it: trouble at one looks
+// unlike trouble at all.
+bool IsTrouble(const std::string& event) {
+  static const auto* const kEvents = new std::set<std::string>(
+      {"broke_off", "decode_broke_off", "decode_silent", "decode_refused",
+       "prefill_failed", "not_run", "not_sent", "unproven_answer"});
+  return kEvents->count(event) != 0;
+}
+
+std::string RowName(const LogLine& line) {
+  if (line.event == "request_done") {
+    std::string outcome = line.Text("outcome");
+    if (outcome == "answered") return "request_done answered";
+    return absl::StrCat("request_done ", outcome, " ", line.Text("reason"));
+  }
+  if (line.event == "request_rejected") {
+    return absl::StrCat("request_rejected ", line.Text("reason"));
+  }
+  if (line.event == "backend") {
+    return absl::StrCat("backend ", line.Text("change"));
+  }
+  if (IsTrouble(line.event)) {
+    return absl::StrCat(line.event, " ", line.Text("backend"));
+  }
+  return line.event;
+}
+
+std::string ChangeText(const LogLine& line) {
+  std::string text = line.event;
+  for (const auto& it : line.fields.items()) {
+    if (it.key() == "t" || it.key() == "process" || it.key() == "event") {
+      continue;
+    }
+    absl::StrAppend(&text, " ", it.key(), "=",
+                    it.value().is_string() ? it.value().get<std::string>()
+                                           : it.value().dump());
+  }
+  return text;
+}
+
+// What to add to each process's clock, from a line on.
+class Clocks {
+ public:
+  void Note(const LogLine& line) {
+    absl::Time wall;
+    std::string error;
+    if (line.event != "clock" ||
+        !absl::ParseTime(absl::RFC3339_full, line.Text("wall"), &wall,
+                         &error)) {
+      return;
+    }
+    absl::Time zero = wall - absl::Seconds(line.seconds);
+    offsets_[line.process] = zero;
+    first_.emplace(line.process, zero);
+  }
+
+  std::optional<absl::Time> At(const LogLine& line) const {
+    auto it = offsets_.find(line.process);
+    if (it == offsets_.end()) return std::nullopt;
+    return it->second + absl::Seconds(line.seconds);
+  }
+
+  std::optional<absl::Time> AtByFirst(const LogLine& line) const {
+    auto it = first_.find(line.process);
+    if (it == first_.end()) return std::nullopt;
+    return it->second + absl::Seconds(line.seconds);
+  }
+
+ private:
+  std::map<std::string, absl::Time> offsets_;
+  std::map<std::string, absl::Time> first_;
+};
+
+std::vector<TimedLine> ReadLines(std::istream& logs, uint64_t& without_time) {
+  Clocks clocks;
+  std::vector<TimedLine> lines;
+  std::vector<LogLine> early;  // before their process's first clock line
+  std::string text;
+  while (std::getline(logs, text)) {
+    std::optional<LogLine> line = ParseLogLine(text);
+    if (!line) continue;
+    clocks.Note(*line);
+    if (line->event == "clock") continue;
+    std::optional<absl::Time> at = clocks.At(*line);
+    if (at) {
+      lines.push_back({*at, *std::move(line)});
+    } else {
+      early.push_back(*std::move(line));
+    }
+  }
+  for (LogLine& it : early) {
+    std::optional<absl::Time> at = clocks.AtByFirst(it);
+    if (at) {
+      lines.push_back({*at, std::move(it)});
+    } else {
+      ++without_time;
+    }
+  }
+  std::stable_sort(
+      lines.begin(), lines.end(),
+      [](const TimedLine& a, const TimedLine& b) { return a.at < b.at; });
+  return lines;
+}
+
+}  // namespace
+
+std::optional<Timeline> ReadTimeline(std::istream& logs, absl::Duration step) {
+  Timeline out;
+  out.step = step;
+  std::vector<TimedLine> lines = ReadLines(logs, out.lines_without_time);
+  if (lines.empty()) return std::nullopt;
+  out.begin = lines.front().at;
+  while ((lines.back().at - out.begin) / out.step >= kMaxSteps) out.step *= 2;
+  auto step_of = [&out](absl::Time at) {
+    return static_cast<size_t>((at - out.begin) / out.step);
+  };
+  size_t steps = step_of(lines.back().at) + 1;
+  std::map<std::string, std::vector<uint64_t>> rows;
+  for (const TimedLine& it : lines) {
+    if (IsChange(it.line.event)) {
+      out.changes.push_back({it.at, it.line.process, ChangeText(it.line)});
+    }
+    std::vector<uint64_t>& counts = rows[RowName(it.line)];
+    counts.resize(steps);
+    ++counts[step_of(it.at)];
+  }
+  for (auto& it : rows) out.rows.push_back({it.first, std::move(it.second)});
+  return out;
+}
+
+std::string FormatTimeline(const Timeline& timeline) {
+  auto clock = [](absl::Time at) {
+    return absl::FormatTime(kTimeFormat, at, absl::UTCTimeZone());
+  };
+  size_t width = 0;
+  for (const TimelineRow& it : timeline.rows) {
+    width = std::max(width, it.what.size());
+  }
+  std::string out = absl::StrFormat("%-*s  from %s UTC, by %s\n", width, "",
+                                    clock(timeline.begin),
+                                    absl::FormatDuration(timeline.step));
+  for (const TimelineRow& it : timeline.rows) {
+    absl::StrAppendFormat(&out, "%-*s", width, it.what);
+    for (uint64_t n : it.counts) {
+      absl::StrAppendFormat(&out, " %4s", n == 0 ? "." : absl::StrCat(n));
+    }
+    out += "\n";
+  }
+  for (const TimelineChange& it : timeline.changes) {
+    absl::StrAppend(&out, clock(it.at), " ", it.process, " ", it.text, "\n");
+  }
+  if (timeline.lines_without_time > 0) {
+    absl::StrAppend(&out, timeline.lines_without_time,
+                    " lines of processes without a clock line left out\n");
+  }
+  return out;
+}
+
+nlohmann::json TimelineJson(const Timeline& timeline) {
+  nlohmann::json out = {
+      {"begin", absl::FormatTime(absl::RFC3339_full, timeline.begin,
+                                 absl::UTCTimeZone())},
+      {"step_ms", absl::ToInt64Milliseconds(timeline.step)},
+      {"rows", nlohmann::json::object()},
+      {"changes", nlohmann::json::array()},
+      {"lines_without_time", timeline.lines_without_time}};
+  for (const TimelineRow& it : timeline.rows) out["rows"][it.what] = it.counts;
+  for (const TimelineChange& it : timeline.changes) {
+    out["changes"].push_back({{"at", absl::FormatTime(absl::RFC3339_full, it.at,
+                                                      absl::UTCTimeZone())},
+                              {"process", it.process},
+                              {"text", it.text}});
+  }
+  return out;
+}
+
+}  // namespace chervilwick
--- a/lib/telemetry/request_story.cc
+++ b/lib/telemetry/request_story.cc
@@ -4,17 +4,15 @@
 
 #include <algorithm>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <tuple>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "chervilwick/telemetry/log_line.h"
 
 namespace chervilwick {
 namespace {
 
-using Json = nlohmann::json;
-
 // Changes that long before and after a request are shown with it.
 constexpr double kContextSeconds = 2.0;
 
@@ -23,24 +21,9 @@
   double last = 0;
 };
 
-std::optional<Json> ParseLine(const std::string& line) {
-  size_t begin = line.find('{');
-  if (begin == std::string::npos) return std::nullopt;
-  Json json = Json::parse(line.substr(begin), nullptr, false);
-  bool is_event = json.is_object() && json.contains("event") &&
-                  json.contains("process") && json.contains("t") &&
-                  json["event"].is_string() && json["process"].is_string() &&
-                  json["t"].is_number();
-  if (!is_event) return std::nullopt;
-  return json;
-}
-
-StoryLine ToStoryLine(const Json& json) {
-  StoryLine line;
-  line.seconds = json["t"].get<double>();
-  line.process = json["process"].get<std::string>();
-  line.event = json["event"].get<std::string>();
-  for (const auto& it : json.items()) {
+StoryLine ToStoryLine(const LogLine& from) {
+  StoryLine line{from.seconds, from.process, from.event, ""};
+  for (const auto& it : from.fields.items()) {
     bool is_shown = it.key() == "t" || it.key() == "process" ||
                     it.key() == "event" || it.key() == "id";
     if (is_shown) continue;
@@ -52,11 +35,6 @@
   return line;
 }
 
-std::string TextOf(const Json& json, const char* name) {
-  auto it = json.find(name);
-  return it != json.end() && it->is_string() ? it->get<std::string>() : "";
-}
-
 }  // namespace
 
 std::optional<RequestStory> ReadStory(std::istream& logs,
@@ -66,24 +44,24 @@
   std::vector<StoryLine> others;
   std::string text;
   while (std::getline(logs, text)) {
-    std::optional<Json> json = ParseLine(text);
-    if (!json) continue;
-    StoryLine line = ToStoryLine(*json);
-    if (!json->contains("id")) {
+    std::optional<LogLine> from = ParseLogLine(text);
+    if (!from) continue;
+    StoryLine line = ToStoryLine(*from);
+    if (!from->fields.contains("id")) {
       line.is_context = true;
       others.push_back(std::move(line));
       continue;
     }
-    if (TextOf(*json, "id") != request_id) continue;
+    if (from->Text("id") != request_id) continue;
     auto [it, is_new] =
         spans.try_emplace(line.process, Span{line.seconds, line.seconds});
     it->second.last = std::max(it->second.last, line.seconds);
     bool is_end =
         line.event == "request_done" || line.event == "request_rejected";
     if (is_end) {
-      story.outcome = TextOf(*json, "outcome");
+      story.outcome = from->Text("outcome");
       if (story.outcome.empty()) story.outcome = "rejected";
-      story.reason = TextOf(*json, "reason");
+      story.reason = from->Text("reason");
     }
     story.lines.push_back(std::move(line));
   }
--- a/tools/chervilwick-ctl/main.cc
+++ b/tools/chervilwick-ctl/main.cc
@@ -14,6 +14,7 @@
 #include "absl/strings/str_split.h"
 #include "chervilwick/settings/settings.h"
 #include "chervilwick/support/version.h"
+#include "chervilwick/telemetry/log_timeline.h"
 #include "chervilwick/telemetry/request_story.h"
 #include "commands.h"
 
@@ -30,6 +31,8 @@
 DEFINE_string(interval, "30s", "return: time between steps");
 DEFINE_double(max_failed, 0.01, "return: share of failed requests allowed");
 DEFINE_double(max_late, 0.1, "return: share of late first tokens allowed");
+DEFINE_string(step, "2s", "timeline: length of a step");
+DEFINE_bool(json, false, "timeline: print JSON");
 DEFINE_uint64(min_requests, 20, "return: requests needed to judge a step");
 
 namespace chervilwick {
@@ -52,6 +55,8 @@
     "  front ADDRESS                 state of a front, by its control address\n"
     "  explain ID [FILE...]          what fronts' logs tell of a request;\n"
     "                                from standard input without files\n"
+    "  timeline [FILE...]            how often what happened, by --step, and\n"
+    "                                what changed; --json for programs\n"
     "Exit codes: 0 done, 1 not accepted, 2 usage, 3 outcome unknown, 4 no "
     "entry\n"
     "answered, 5 a return was stopped by its gate.";
@@ -123,14 +128,46 @@
   return Usage("unknown config command");
 }
 
-int Explain(const std::vector<std::string>& words) {
-  std::stringstream logs;
-  if (words.size() == 2) logs << std::cin.rdbuf();
-  for (size_t it = 2; it < words.size(); ++it) {
+// Reads the files named from that word on, or standard input if there are none.
+// Returns the name of a file that can't be read.
+std::optional<std::string> ReadLogs(const std::vector<std::string>& words,
+                                    size_t first, std::stringstream& logs) {
+  if (words.size() == first) logs << std::cin.rdbuf();
+  for (size_t it = first; it < words.size(); ++it) {
     std::ifstream file(words[it]);
-    if (!file) return Usage(words[it] + ": can't be read");
+    if (!file) return words[it];
     logs << file.rdbuf() << '\n';
   }
+  return std::nullopt;
+}
+
+int ShowTimeline(const std::vector<std::string>& words) {
+  absl::Duration step;
+  if (!absl::ParseDuration(FLAGS_step, &step) || step < absl::Milliseconds(1)) {
+    return Usage("bad --step");
+  }
+  std::stringstream logs;
+  if (auto file = ReadLogs(words, 1, logs)) {
+    return Usage(*file + ": can't be read");
+  }
+  std::optional<Timeline> timeline = ReadTimeline(logs, step);
+  if (!timeline) {
+    std::fprintf(stderr,
+                 "no line has a time: include each process's `clock` line, "
+                 "written at its start and every minute\n");
+    return kExitNotAccepted;
+  }
+  std::string text = FLAGS_json ? TimelineJson(*timeline).dump(2) + "\n"
+                                : FormatTimeline(*timeline);
+  std::printf("%s", text.c_str());
+  return kExitOk;
+}
+
+int Explain(const std::vector<std::string>& words) {
+  std::stringstream logs;
+  if (auto file = ReadLogs(words, 2, logs)) {
+    return Usage(*file + ": can't be read");
+  }
   std::optional<RequestStory> story = ReadStory(logs, words[1]);
   if (!story) {
     std::fprintf(stderr,
@@ -150,6 +187,7 @@
   if (verb == "status" && n == 1) return ShowStatus(client);
   if (verb == "config") return RunConfig(client, words);
   if (verb == "explain" && n >= 2) return Explain(words);
+  if (verb == "timeline") return ShowTimeline(words);
   if (verb == "front" && n == 2) return ShowFront(client, words[1]);
   if (verb == "check" && n == 3) return CheckFile(words[1], words[2]);
   bool changes = verb == "retreat" || verb == "return" || verb == "drain" ||
--- a/unittests/common/raw_peer.cc
+++ b/unittests/common/raw_peer.cc
@@ -21,18 +21,59 @@
   return poll(&ready, 1, kWaitMs) == 1;
 }
 
+bool CanBind(const Endpoint& endpoint, int type) {
+  int socket = ::socket(AF_INET, type, 0);
+  sockaddr_in address = endpoint.ToSockaddr();
+  bool is_bound =
+      bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(socket);
+  return is_bound;
+}
+
+// Ports that this process alone uses, below those that the kernel gives to
+// outgoing connections: one of these could take a port between the moment that
+// it is found free and its use.
+class PortBlock {
+ public:
+  PortBlock() {
+    for (int n = 0; n < kBlocks; ++n) {
+      Endpoint guard{kLoopback, static_cast<uint16_t>(kFirstGuard + n)};
+      // Held until the process ends.
+      guard_ = BindUdp(guard);
+      if (guard_ < 0) continue;
+      first_ = kFirstGuard + kBlocks + n * kBlockPorts;
+      return;
+    }
+    throw std::runtime_error("all port blocks are taken");
+  }
+
+  Endpoint Next() {
+    for (int tries = 0; tries < kBlockPorts; ++tries) {
+      int port = first_ + next_;
+      next_ = (next_ + 1) % kBlockPorts;
+      Endpoint endpoint{kLoopback, static_cast<uint16_t>(port)};
+      if (CanBind(endpoint, SOCK_STREAM) && CanBind(endpoint, SOCK_DGRAM)) {
+        return endpoint;
+      }
+    }
+    throw std::runtime_error("no free port on loopback");
+  }
+
+ private:
+  static constexpr int kFirstGuard = 22000;
+  static constexpr int kBlocks = 50;
+  static constexpr int kBlockPorts = 200;
+
+  int guard_ = -1;
+  int first_ = 0;
+  int next_ = 0;
+};
+
 }  // namespace
 
 Endpoint FreeEndpoint() {
-  int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Endpoint{kLoopback, 0}.ToSockaddr();
-  socklen_t length = sizeof(address);
-  auto* raw = reinterpret_cast<sockaddr*>(&address);
-  bool is_bound =
-      bind(socket, raw, length) == 0 && getsockname(socket, raw, &length) == 0;
-  close(socket);
-  if (!is_bound) throw std::runtime_error("no free port on loopback");
-  return Endpoint::From(address);
+  static PortBlock block;
+  return block.Next();
 }
 
 int ConnectRaw(const Endpoint& endpoint) {
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -334,6 +334,24 @@
   CHECK(it.store.Has("duty/stages"));
 }
 
+TEST_CASE("a front that was suspended orders nothing under its old lease",
+          "[front]") {
+  TestDeployment it;
+  for (const char* id : {"p2", "p3", "p4"}) it.Add(id, "llm", "prefill");
+  it.Start();
+  absl::Duration suspended;
+  it.front->SetBootClock([&] { return it.loop.Now() + suspended; });
+  while (!it.store.Has("duty/stages")) {
+    it.loop.RunFor(absl::Milliseconds(50));
+  }
+  it.loop.RunFor(absl::Milliseconds(300));
+  // A lease lasts 12 s.
+  suspended = absl::Seconds(13);
+  it.loop.RunFor(absl::Seconds(2));
+  for (const auto& engine : it.engines) CHECK(engine.second->orders.empty());
+  CHECK(it.LogText().find("\"why\":\"lease over\"") != std::string::npos);
+}
+
 // The three kinds of failure of docs/OPERATIONS.md.
 TEST_CASE("the log explains a stream that was cut", "[front][operations]") {
   TestDeployment it;
@@ -375,6 +393,27 @@
   CHECK(story.lines.back().fields.find("version=1") != std::string::npos);
 }
 
+TEST_CASE("metrics tell which server fails and why requests are refused",
+          "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.SetFaults({"s1"}, Fault::kLoseAnswer);
+  it.RemoveServer("s2");
+  it.loop.RunFor(absl::Milliseconds(100));
+  it.Get("POST", "/book/x");
+  std::string text = it.Get("GET", "/metrics", it.settings.metrics).body;
+  CHECK(text.find("front_backend_trouble_total{backend=\"s1\","
+                  "event=\"broke_off\"} 1") != std::string::npos);
+  it.RemoveServer("s1");
+  it.loop.RunFor(absl::Milliseconds(100));
+  it.Get("POST", "/book/x");
+  text = it.Get("GET", "/metrics", it.settings.metrics).body;
+  CHECK(text.find("front_refusals_total{route=\"book\","
+                  "reason=\"no_backend\"} 1") != std::string::npos);
+  CHECK(text.find("front_backend_trouble_total") == std::string::npos);
+  CHECK(text.find("process_start_time_seconds") != std::string::npos);
+}
+
 TEST_CASE("metrics and status are served", "[front]") {
   TestDeployment it;
   it.Start();
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -1,5 +1,8 @@
 // Server and client against each other, and against raw bytes.
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -11,6 +14,7 @@
 #include "absl/strings/str_cat.h"
 #include "chervilwick/net/http_client.h"
 #include "chervilwick/net/http_server.h"
+#include "chervilwick/net/socket.h"
 #include "chervilwick/support/overloaded.h"
 #include "raw_peer.h"
 
@@ -235,5 +239,42 @@
   CHECK(served == 0);
 }
 
+// On loopback nothing can be made to swallow segments, so this asks what the
+// kernel was told.
+TEST_CASE("a connection whose peer falls silent ends within the limit",
+          "[net]") {
+  int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(socket >= 0);
+  SetTcpOptions(socket, absl::Seconds(3));
+  auto option = [socket](int level, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    REQUIRE(getsockopt(socket, level, name, &value, &size) == 0);
+    return value;
+  };
+  // Data that is not acknowledged.
+  CHECK(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == 3000);
+  // A connection that only waits.
+  CHECK(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  CHECK(option(IPPROTO_TCP, TCP_KEEPIDLE) +
+            option(IPPROTO_TCP, TCP_KEEPINTVL) *
+                option(IPPROTO_TCP, TCP_KEEPCNT) <=
+        3);
+  close(socket);
+}
+
+// A front of a played day once found its port taken by an outgoing connection.
+TEST_CASE("ports of stand-ins are not those of outgoing connections", "[net]") {
+  // Where the kernel's range begins unless it is configured.
+  constexpr uint16_t kFirstOutgoing = 32768;
+  uint16_t last = 0;
+  for (int n = 0; n < 50; ++n) {
+    uint16_t port = FreeEndpoint().port;
+    CHECK(port < kFirstOutgoing);
+    CHECK(port != last);
+    last = port;
+  }
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <string>
 
+#include "chervilwick/telemetry/log_timeline.h"
 #include "chervilwick/telemetry/request_story.h"
 
 namespace chervilwick {
@@ -102,5 +103,66 @@
   CHECK_FALSE(ReadStory(none, "a"));
 }
 
+TEST_CASE("an age that is not known is null", "[telemetry]") {
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), "f1");
+  log.Write(absl::UnixEpoch(), "sent",
+            {{"list_age_ms", absl::InfiniteDuration()}});
+  log.Flush();
+  CHECK(pipe.Read().find("\"list_age_ms\":null") != std::string::npos);
+}
+
+TEST_CASE("a timeline counts what several processes logged", "[telemetry]") {
+  std::stringstream logs(
+      // Before its clock line; the clocks of f1 and f2 began 100 s apart.
+      "{\"t\":9.0,\"process\":\"f1\",\"event\":\"start\"}\n"
+      "{\"t\":10.0,\"process\":\"f1\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:10+00:00\"}\n"
+      "{\"t\":110,\"process\":\"f2\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:10+00:00\"}\n"
+      "{\"t\":11.5,\"process\":\"f1\",\"event\":\"broke_off\",\"id\":\"a\","
+      "\"backend\":\"s1\"}\n"
+      "{\"t\":112,\"process\":\"f2\",\"event\":\"broke_off\",\"id\":\"b\","
+      "\"backend\":\"s1\"}\n"
+      "{\"t\":112.5,\"process\":\"f2\",\"event\":\"request_done\",\"id\":\"b\","
+      "\"outcome\":\"failed\",\"reason\":\"backend_broke_off\"}\n"
+      // Restarted, with another clock.
+      "{\"t\":1.0,\"process\":\"f2\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:14+00:00\"}\n"
+      "{\"t\":1.5,\"process\":\"f2\",\"event\":\"store_lost\",\"why\":\"x\"}\n"
+      "{\"t\":7,\"process\":\"f3\",\"event\":\"start\"}\n");
+  auto timeline = ReadTimeline(logs, absl::Seconds(2));
+  REQUIRE(timeline);
+  CHECK(absl::FormatTime(absl::RFC3339_full, timeline->begin,
+                         absl::UTCTimeZone()) == "2026-01-01T10:00:09+00:00");
+  REQUIRE(timeline->rows.size() == 4);
+  CHECK(timeline->rows[0].what == "broke_off s1");
+  CHECK(timeline->rows[0].counts == std::vector<uint64_t>{0, 2, 0});
+  CHECK(timeline->rows[1].what == "request_done failed backend_broke_off");
+  CHECK(timeline->rows[3].what == "store_lost");
+  CHECK(timeline->rows[3].counts == std::vector<uint64_t>{0, 0, 1});
+  REQUIRE(timeline->changes.size() == 2);
+  CHECK(timeline->changes[1].process == "f2");
+  CHECK(timeline->changes[1].text == "store_lost why=x");
+  CHECK(timeline->lines_without_time == 1);
+  std::string text = FormatTimeline(*timeline);
+  CHECK(text.find("10:00:14.500 f2 store_lost why=x") != std::string::npos);
+  CHECK(text.find("1 lines of processes without") != std::string::npos);
+  CHECK(TimelineJson(*timeline)["rows"]["broke_off s1"][1] == 2);
+}
+
+TEST_CASE("a timeline of a long stretch has longer steps", "[telemetry]") {
+  std::stringstream logs(
+      "{\"t\":0,\"process\":\"f1\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:00+00:00\"}\n"
+      "{\"t\":1,\"process\":\"f1\",\"event\":\"start\"}\n"
+      "{\"t\":86400,\"process\":\"f1\",\"event\":\"stop\"}\n");
+  auto timeline = ReadTimeline(logs, absl::Seconds(1));
+  REQUIRE(timeline);
+  CHECK(timeline->step > absl::Seconds(200));
+  CHECK(timeline->rows[0].counts.size() <= 400);
+  CHECK(timeline->rows[1].counts.back() == 1);
+}
+
 }  // namespace
 }  // namespace chervilwick
