--- a/include/chervilwick/dispatch/backend_record.h
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -18,6 +18,19 @@
   kDecode,   // generates; can read a prompt itself, at half the speed
 };
 
+// Name of a stage in logs and reports.
+inline const char* StageName(EngineStage stage) {
+  switch (stage) {
+    case EngineStage::kNone:
+      return "-";
+    case EngineStage::kPrefill:
+      return "prefill";
+    case EngineStage::kDecode:
+      return "decode";
+  }
+  return "-";
+}
+
 // One start of a backend server. An id that starts again has a later `born`.
 struct BackendRecord {
   BackendName id;
--- a/include/chervilwick/engine/work_pool.h
+++ b/include/chervilwick/engine/work_pool.h
@@ -33,8 +33,11 @@
 
   void Run(StartWork start);
   void Cancel(const AttemptId& attempt);
+  // Attempts that were given to it and have not ended.
+  size_t unfinished();
 
  private:
+  void Forget(const AttemptId& attempt);
   void Loop();
   void RunOne(const StartWork& start);
 
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -69,7 +69,7 @@
   void ApplyLimits();
   void CheckShutdown();
   std::string Metrics() const;
-  std::string Status() const;
+  std::string Status();
 
   EventLoop& loop_;
   std::string settings_file_;
--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -69,6 +69,8 @@
   void SetSeeds(const std::string& seeds);
   // Fronts that are heard, this one not included.
   size_t alive() const { return alive_.size(); }
+  // Their names, and when each was heard last.
+  std::map<std::string, absl::Time> Heard() const;
   // Most fronts, this one included, that were alive within the last while.
   uint32_t FrontsAssumed() const;
   // Control address of a front that is heard or a seed; none if there is none.
--- a/lib/engine/work_pool.cc
+++ b/lib/engine/work_pool.cc
@@ -45,7 +45,20 @@
       threads_.back()->Start("engine-call", [this] { Loop(); });
     }
   }
-  if (!queue_.TryPush(std::move(start))) on_finished_(std::move(not_run));
+  if (queue_.TryPush(std::move(start))) return;
+  Forget(not_run.attempt);
+  on_finished_(std::move(not_run));
+}
+
+void WorkPool::Forget(const AttemptId& attempt) {
+  MutexLock lock(&mutex_);
+  cancellers_.erase(attempt);
+  --unfinished_;
+}
+
+size_t WorkPool::unfinished() {
+  MutexLock lock(&mutex_);
+  return unfinished_;
 }
 
 void WorkPool::Cancel(const AttemptId& attempt) {
@@ -77,11 +90,7 @@
       engine_, start, *canceller, [&](std::vector<std::string> tokens) {
         on_tokens_({attempt, std::move(tokens)});
       });
-  {
-    MutexLock lock(&mutex_);
-    cancellers_.erase(attempt);
-    --unfinished_;
-  }
+  Forget(attempt);
   on_finished_(std::move(finished));
 }
 
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -225,9 +225,7 @@
                                                         : "updated"},
        {"address", record.endpoint.ToString()},
        {"state", record.draining ? "draining" : "ready"},
-       {"stage", record.stage == EngineStage::kPrefill  ? "prefill"
-                 : record.stage == EngineStage::kDecode ? "decode"
-                                                        : "-"},
+       {"stage", StageName(record.stage)},
        {"store_revision", store_.revision()}});
   if (record.draining) context_.client.Forget(record.endpoint);
   context_.wake_scheduler();
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -49,6 +49,16 @@
   std::vector<MetricSample> samples_;
 };
 
+// The first that holds, from what keeps most requests away.
+const char* StateName(const BackendState& backend, absl::Time now) {
+  if (backend.record.draining) return "draining";
+  if (backend.lapses_at) return "lapsed";
+  if (backend.changing_until > now) return "changing";
+  if (backend.suspect_until > now) return "suspect";
+  if (backend.full_until > now) return "full";
+  return "ready";
+}
+
 }  // namespace
 
 std::string FrontDaemon::Metrics() const {
@@ -123,32 +133,47 @@
   return list.Render();
 }
 
-std::string FrontDaemon::Status() const {
+std::string FrontDaemon::Status() {
+  absl::Time now = loop_.Now();
   Json backends = Json::array();
   for (const auto& it : context_.backends.all()) {
     const BackendState& backend = it.second;
     BackendUse use = backend.Total();
-    backends.push_back(
-        {{"id", it.first.value()},
-         {"address", backend.record.endpoint.ToString()},
-         {"zone", backend.record.zone.value()},
-         {"state", backend.record.draining ? "draining" : "ready"},
-         {"suspect", backend.suspect_until > loop_.Now()},
-         {"requests", use.requests},
-         {"memory_tokens", use.memory_tokens},
-         {"prompt_tokens", use.prompt_tokens},
-         {"time_percent", backend.time_percent}});
+    backends.push_back({{"id", it.first.value()},
+                        {"address", backend.record.endpoint.ToString()},
+                        {"service", backend.record.service.value()},
+                        {"zone", backend.record.zone.value()},
+                        {"stage", StageName(backend.record.stage)},
+                        {"state", StateName(backend, now)},
+                        {"failure_rate", backend.FailureRate(now)},
+                        {"requests", use.requests},
+                        {"memory_tokens", use.memory_tokens},
+                        {"prompt_tokens", use.prompt_tokens},
+                        {"time_percent", backend.time_percent}});
+  }
+  Json peers = Json::array();
+  for (const auto& it : peers_.Heard()) {
+    peers.push_back(
+        {{"name", it.first},
+         {"silent_ms", absl::ToInt64Milliseconds(now - it.second)}});
+  }
+  Json budgets = Json::object();
+  for (const auto& it : table_.services) {
+    budgets[it.first.value()] = context_.quota.Left(it.first, now);
   }
-  Json status = {{"name", context_.settings.name},
-                 {"zone", context_.settings.zone},
-                 {"ready", IsReady()},
-                 {"version", table_.version.value()},
-                 {"store_revision", store_.revision()},
-                 {"store_reachable", store_.is_reachable()},
-                 {"peers", peers_.alive()},
-                 {"in_flight", relays_.size()},
-                 {"waiting_streams", context_.scheduler.waiting()},
-                 {"backends", backends}};
+  Json status = {
+      {"name", context_.settings.name},
+      {"zone", context_.settings.zone},
+      {"ready", IsReady()},
+      {"version", table_.version.value()},
+      {"store_revision", store_.revision()},
+      {"store_reachable", store_.is_reachable()},
+      {"store_age_ms", absl::ToInt64Milliseconds(now - store_.last_answer())},
+      {"peers", peers},
+      {"repeats_left", budgets},
+      {"in_flight", relays_.size()},
+      {"waiting_streams", context_.scheduler.waiting()},
+      {"backends", backends}};
   return status.dump(2) + "\n";
 }
 
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -226,6 +226,13 @@
   return ControlOf(*best);
 }
 
+std::map<std::string, absl::Time> PeerLink::Heard() const {
+  std::map<std::string, absl::Time> heard;
+  for (const auto& it : alive_)
+    heard[it.second.digest.sender] = it.second.heard;
+  return heard;
+}
+
 uint32_t PeerLink::FrontsAssumed() const {
   uint32_t most = static_cast<uint32_t>(alive_.size()) + 1;
   // Before any peer was heard, the seeds are taken to be others.
--- a/tools/chervilwick-ctl/commands.cc
+++ b/tools/chervilwick-ctl/commands.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_format.h"
 #include "chervilwick/config/merge_patch.h"
 #include "chervilwick/support/random_seed.h"
+#include "chervilwick/telemetry/status_table.h"
 
 namespace chervilwick {
 namespace {
@@ -143,14 +144,16 @@
   return kExitOk;
 }
 
-int ShowFront(AdminClient& client, const std::string& address) {
+int ShowFront(AdminClient& client, const std::string& address, bool as_json) {
   std::optional<AdminAnswer> answer = client.GetFrom(address, "/status");
   if (!answer || answer->http_status != 200) {
     std::fprintf(stderr, "%s: no answer from a front there (%s)\n",
                  address.c_str(), client.last_error().c_str());
     return kExitUnreachable;
   }
-  std::printf("%s\n", answer->body.dump(2).c_str());
+  std::string text =
+      as_json ? answer->body.dump(2) + "\n" : FormatFrontStatus(answer->body);
+  std::printf("%s", text.c_str());
   return kExitOk;
 }
 
--- a/tools/chervilwick-ctl/commands.h
+++ b/tools/chervilwick-ctl/commands.h
@@ -42,8 +42,8 @@
 };
 
 int ShowStatus(AdminClient& client);
-// State of a front, by its control address.
-int ShowFront(AdminClient& client, const std::string& address);
+// State of a front, by its control address, as a table or as JSON.
+int ShowFront(AdminClient& client, const std::string& address, bool as_json);
 int ShowConfig(AdminClient& client, const std::string& number);
 int ShowDiff(AdminClient& client, const std::string& from,
              const std::string& to);
--- a/tools/chervilwick-ctl/main.cc
+++ b/tools/chervilwick-ctl/main.cc
@@ -32,7 +32,7 @@
 DEFINE_double(max_failed, 0.01, "return: share of failed requests allowed");
 DEFINE_double(max_late, 0.1, "return: share of late first tokens allowed");
 DEFINE_string(step, "2s", "timeline: length of a step");
-DEFINE_bool(json, false, "timeline: print JSON");
+DEFINE_bool(json, false, "front, timeline: print JSON");
 DEFINE_uint64(min_requests, 20, "return: requests needed to judge a step");
 
 namespace chervilwick {
@@ -52,7 +52,9 @@
     "  return --to=N|NAME            go forward again in steps behind a gate\n"
     "  drain SERVER | undrain SERVER stop or resume new work at a server\n"
     "  check entry|agent|front FILE  check a settings file\n"
-    "  front ADDRESS                 state of a front, by its control address\n"
+    "  front ADDRESS                 state of a front, by its control "
+    "address;\n"
+    "                                --json for programs\n"
     "  explain ID [FILE...]          what fronts' logs tell of a request;\n"
     "                                from standard input without files\n"
     "  timeline [FILE...]            how often what happened, by --step, and\n"
@@ -188,7 +190,9 @@
   if (verb == "config") return RunConfig(client, words);
   if (verb == "explain" && n >= 2) return Explain(words);
   if (verb == "timeline") return ShowTimeline(words);
-  if (verb == "front" && n == 2) return ShowFront(client, words[1]);
+  if (verb == "front" && n == 2) {
+    return ShowFront(client, words[1], FLAGS_json);
+  }
   if (verb == "check" && n == 3) return CheckFile(words[1], words[2]);
   bool changes = verb == "retreat" || verb == "return" || verb == "drain" ||
                  verb == "undrain";
--- a/unittests/common/raw_peer.cc
+++ b/unittests/common/raw_peer.cc
@@ -60,7 +60,7 @@
   }
 
  private:
-  static constexpr int kFirstGuard = 22000;
+  static constexpr int kFirstGuard = 10000;
   static constexpr int kBlocks = 50;
   static constexpr int kBlockPorts = 200;
 
--- a/unittests/engine/engine_test.cc
+++ b/unittests/engine/engine_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <string>
@@ -9,6 +10,8 @@
 
 #include "chervilwick/engine/engine_client.h"
 #include "chervilwick/engine/sse_reader.h"
+#include "chervilwick/engine/work_pool.h"
+#include "raw_peer.h"
 
 namespace chervilwick {
 namespace {
@@ -58,5 +61,39 @@
   CHECK(finished.status == WorkStatus::kCancelled);
 }
 
+TEST_CASE("attempts that find the queue full end and leave nothing behind",
+          "[engine]") {
+  // Accepts in the kernel, never answers.
+  Endpoint address = FreeEndpoint();
+  int listener = ListenTcp(address);
+  REQUIRE(listener >= 0);
+  Mutex mutex;
+  size_t not_sent = 0;
+  WorkPool pool(
+      PlainEngine{address.ToString()}, 1, [](const EngineTokens&) {},
+      [&](const EngineFinished& it) {
+        MutexLock lock(&mutex);
+        not_sent += it.status == WorkStatus::kNotSent ? 1 : 0;
+      });
+  constexpr uint64_t kAttempts = 200;
+  for (uint64_t n = 1; n <= kAttempts; ++n) {
+    StartWork start;
+    start.attempt = {Incarnation(1), n};
+    start.method = "POST";
+    start.path = "/book";
+    start.deadline_ms = 60000;
+    pool.Run(start);
+  }
+  size_t refused = 0;
+  {
+    MutexLock lock(&mutex);
+    refused = not_sent;
+  }
+  CHECK(refused > 0);
+  CHECK(pool.unfinished() == kAttempts - refused);
+  pool.Stop();
+  close(listener);
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "chervilwick/telemetry/status_table.h"
 #include "deployment.h"
 #include "raw_peer.h"
 
@@ -71,6 +72,35 @@
   CHECK(it.Runs("s1") + it.Runs("s2") == 1);
 }
 
+TEST_CASE("attempts of a route don't let a booking run twice", "[front]") {
+  TestDeployment it;
+  Json config = DeploymentConfig(2);
+  config["routes"][0]["attempts"] = 3;
+  it.store.Put("op/config", config.dump());
+  it.Start();
+  it.SetFaults({"s1", "s2"}, Fault::kLoseAnswer);
+  CHECK(it.Get("POST", "/book/x").status == 502);
+  CHECK(it.Runs("s1") + it.Runs("s2") == 1);
+}
+
+TEST_CASE("a lookup that ran is not called refused for want of budget",
+          "[front]") {
+  TestDeployment it;
+  // One repeated send in the first window.
+  it.settings.retry_ratio = 0;
+  it.settings.retry_slack = 3;
+  Json config = DeploymentConfig(2);
+  config["routes"][1]["attempts"] = 4;
+  it.store.Put("op/config", config.dump());
+  it.Add("s3", "desk", "");
+  it.Start();
+  it.SetFaults({"s1"}, Fault::kLoseAnswer);
+  it.SetFaults({"s2", "s3"}, Fault::kRefuse);
+  Answer answer = it.Get("GET", "/check/x");
+  REQUIRE(it.Runs("s1") == 1);
+  CHECK(answer.status == 502);
+}
+
 TEST_CASE("a booking that was refused as not run goes elsewhere", "[front]") {
   TestDeployment it;
   it.Start();
@@ -341,9 +371,10 @@
   it.Start();
   absl::Duration suspended;
   it.front->SetBootClock([&] { return it.loop.Now() + suspended; });
-  while (!it.store.Has("duty/stages")) {
+  for (int n = 0; n < 100 && !it.store.Has("duty/stages"); ++n) {
     it.loop.RunFor(absl::Milliseconds(50));
   }
+  REQUIRE(it.store.Has("duty/stages"));
   it.loop.RunFor(absl::Milliseconds(300));
   // A lease lasts 12 s.
   suspended = absl::Seconds(13);
@@ -427,6 +458,13 @@
   Json status = Json::parse(it.Get("GET", "/status", it.settings.control).body);
   CHECK(status["ready"] == true);
   CHECK(status["backends"].size() == 5);
+  CHECK(status["repeats_left"]["desk"].get<double>() > 0);
+  std::string table = FormatFrontStatus(status);
+  CHECK(table.find("front-1 in a: ready, version 1") != std::string::npos);
+  CHECK(table.find("service llm: repeated sends left") != std::string::npos);
+  CHECK(table.find("prefill") != std::string::npos);
+  CHECK(table.find("NOT") == std::string::npos);
+  CHECK(table.find("revision -") == std::string::npos);
 }
 
 TEST_CASE("what fronts tell each other survives the way", "[front]") {
@@ -469,8 +507,8 @@
     }
     return tokens;
   };
-  REQUIRE(Json::parse(
-              it.Get("GET", "/status", settings.metrics).body)["peers"] == 1);
+  REQUIRE(Json::parse(it.Get("GET", "/status", settings.metrics).body)["peers"]
+              .size() == 1);
   CHECK(used() == 0);
   // Their places stay taken for as long as engines stay silent.
   it.SetFaults({"d1", "d2"}, Fault::kNeverAnswer);
