A stream whose engine can't be reached spends no repeated send

The budget counts what arrives at a service; plain calls knew, streams counted the call before it was made and did not take it back.

Ruled out: that the prompts were lost with it; their handles were fresh, and the next placement used them.

Change: a decode call that reached no engine is not counted. Test red before.

--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -246,6 +246,7 @@
   excluded_.insert(decode);
   if (!sent) {
     --runs_;
+    --counted_sends_;  // it reached no engine
     if (decode_sends_ < kMaxDecodeSends) {
       Submit(now);
       return;
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -163,6 +163,20 @@
   it.CheckNothingHeld();
 }
 
+TEST_CASE("an engine that can't be reached costs no repeated send",
+          "[dispatch]") {
+  Stream it;
+  it.port.repeats_left = 0;
+  it.StartAndReadPrompt();
+  it.lifecycle.OnDecodeBroken(/*sent=*/false, /*closed=*/false, it.now);
+  it.Schedule();
+  CHECK_FALSE(it.port.ending.has_value());
+  REQUIRE(it.port.decodes.size() == 2);
+  CHECK(it.port.decodes[0] != it.port.decodes[1]);
+  CHECK(it.port.with_handles[1]);
+  it.CheckNothingHeld();
+}
+
 TEST_CASE("after three prompt calls the decoding engine reads it",
           "[dispatch]") {
   Stream it;
