Test of a forgotten history: the change is hidden from the watch

The mutation that ignores the store's 410 went unnoticed: the change reached the front by its watch before the history was forgotten. The stand-in can now change an item unheard; the test is red under the mutation (s1 runs 4 in place of 0).

--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -70,9 +70,14 @@
 }
 
 void PlatformStore::Put(const std::string& key, const std::string& value) {
+  PutUnheard(key, value);
+  WakeWatches();
+}
+
+void PlatformStore::PutUnheard(const std::string& key,
+                               const std::string& value) {
   items_[key] = {value, ++revision_, 0};
   history_.push_back({key, revision_, false});
-  WakeWatches();
 }
 
 void PlatformStore::Remove(const std::string& key) {
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -28,6 +28,8 @@
 
   const Endpoint& endpoint() const { return endpoint_; }
   void Put(const std::string& key, const std::string& value);
+  // Changes an item while watches hear nothing.
+  void PutUnheard(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void SetFault(Fault fault) { fault_ = fault; }
   // Watches from before now are answered as no longer possible.
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -279,10 +279,11 @@
 TEST_CASE("changes in a forgotten part of the history are found", "[front]") {
   TestDeployment it;
   it.Start();
-  it.store.Put("servers/s1", it.engines.at("s1")->Entry("draining"));
-  it.store.Put("op/config", DeploymentConfig(5).dump());
+  it.store.PutUnheard("servers/s1", it.engines.at("s1")->Entry("draining"));
+  it.store.PutUnheard("op/config", DeploymentConfig(5).dump());
   it.store.ForgetHistory();
   it.loop.RunFor(absl::Milliseconds(200));
+  CHECK(it.LogText().find("\"version\":5") != std::string::npos);
   size_t before = it.Runs("s1");
   for (int n = 0; n < 4; ++n) CHECK(it.Get("POST", "/book/x").status == 200);
   CHECK(it.Runs("s1") == before);
