A server that can't be reached is distrusted at once

Change: BackendTable::ReportUnreachable, used by plain calls, prompts and decodes; PromptFailure tells the three ways in which a prompt fails. Tests in dispatch_test.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -86,6 +86,9 @@
 
   // A request broke off or got no answer there. Distrust doubles each time.
   void ReportFailure(const BackendName& id, absl::Time now);
+  // The server can't be reached, or another one has its address: no request is
+  // the cause, so it is distrusted at once.
+  void ReportUnreachable(const BackendName& id, absl::Time now);
   // The server answered with a failure of its own.
   void ReportError(const BackendName& id, absl::Time now);
   // Bytes of a request that goes on came from it.
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -72,6 +72,13 @@
   virtual void WakeScheduler() = 0;
 };
 
+// Why a prompt was not read.
+enum class PromptFailure {
+  kRefused,      // the engine said that it did not
+  kUnreachable,  // the call did not arrive
+  kBroken,       // the engine broke off, answered badly or too late
+};
+
 // Waits for a place, has the prompt read, then the stream generated. What an
 // engine refuses is tried elsewhere; what broke off goes on at another engine
 // only where the route says that it may.
@@ -112,8 +119,7 @@
   void OnRefused(const StreamRefusal& refusal);
 
   void OnPromptRead(absl::Time now);
-  // The engine refused the prompt, or it broke off or came too late.
-  void OnPromptFailed(bool is_refused, absl::Time now);
+  void OnPromptFailed(PromptFailure why, absl::Time now);
 
   // The decoding engine began to answer with success.
   void OnStreaming();
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -45,7 +45,7 @@
             CallHandler handler);
   void OnPromptEvent(CallEvent event);
   void OnPromptEnd();
-  void OnPromptFailed(absl::string_view why, bool is_refused);
+  void OnPromptFailed(absl::string_view why, PromptFailure kind);
   void OnDecodeEvent(CallEvent event);
   void OnDecodeHead(HttpHead head);
   void OnDecodeBytes(absl::string_view bytes);
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -148,6 +148,14 @@
   backend->suspect_until = now + std::min(avoidance, kLongestAvoidance);
 }
 
+void BackendTable::ReportUnreachable(const BackendName& id, absl::Time now) {
+  BackendState* backend = Find(id);
+  if (backend == nullptr) return;
+  backend->failures_in_a_row =
+      std::max(backend->failures_in_a_row, kFailuresTolerated);
+  ReportFailure(id, now);
+}
+
 void BackendTable::ReportError(const BackendName& id, absl::Time now) {
   BackendState* backend = Find(id);
   if (backend != nullptr) backend->NoteOutcome(/*failed=*/true, now);
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -160,14 +160,23 @@
   port_.WakeScheduler();
 }
 
-void StreamLifecycle::OnPromptFailed(bool is_refused, absl::Time now) {
+void StreamLifecycle::OnPromptFailed(PromptFailure why, absl::Time now) {
   BackendName prefill = *placement_->prefill;
-  if (is_refused) {
-    if (prompt_sends_ == 1) ++counted_sends_;
-    services_.backends.ReportFull(prefill, now);
-  } else {
-    services_.backends.ReportFailure(prefill, now);
-    excluded_.insert(prefill);
+  bool was_counted = prompt_sends_ > 1;
+  switch (why) {
+    case PromptFailure::kRefused:
+      if (!was_counted) ++counted_sends_;
+      services_.backends.ReportFull(prefill, now);
+      break;
+    case PromptFailure::kUnreachable:
+      if (was_counted) --counted_sends_;
+      services_.backends.ReportUnreachable(prefill, now);
+      excluded_.insert(prefill);
+      break;
+    case PromptFailure::kBroken:
+      services_.backends.ReportFailure(prefill, now);
+      excluded_.insert(prefill);
+      break;
   }
   ReleasePrompt();
   if (prompt_sends_ >= kMaxPromptSends) {
@@ -224,7 +233,7 @@
     reads_at_decode_ = true;
   }
   services_.backends.ReportFull(decode, now);
-  if (is_wrong_server) services_.backends.ReportFailure(decode, now);
+  if (is_wrong_server) services_.backends.ReportUnreachable(decode, now);
   Release();
   excluded_.insert(decode);
   if (decode_sends_ >= kMaxDecodeSends) {
@@ -241,7 +250,11 @@
 
 void StreamLifecycle::OnDecodeBroken(bool sent, bool closed, absl::Time now) {
   BackendName decode = placement_->decode;
-  services_.backends.ReportFailure(decode, now);
+  if (sent) {
+    services_.backends.ReportFailure(decode, now);
+  } else {
+    services_.backends.ReportUnreachable(decode, now);
+  }
   Release();
   excluded_.insert(decode);
   if (!sent) {
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -130,7 +130,10 @@
     if (result == PromptResult::kRead) {
       lifecycle_.OnPromptRead(now);
     } else {
-      lifecycle_.OnPromptFailed(result == PromptResult::kRefused, now);
+      lifecycle_.OnPromptFailed(result == PromptResult::kRefused
+                                    ? PromptFailure::kRefused
+                                    : PromptFailure::kBroken,
+                                now);
     }
   }
 
@@ -169,7 +172,7 @@
     absl::Time now = front_.queue_.now();
     if (lifecycle_.phase() == StreamLifecycle::Phase::kPrompt) {
       CancelCall();
-      lifecycle_.OnPromptFailed(/*is_refused=*/false, now);
+      lifecycle_.OnPromptFailed(PromptFailure::kBroken, now);
       return;
     }
     switch (lifecycle_.OnDecodeSilent(now)) {
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -133,13 +133,14 @@
 void PlainRelay::OnFailure(uint32_t number, const CallFailure& failure) {
   Attempt attempt = Take(number);
   broken_.insert(attempt.backend);
-  context().backends.ReportFailure(attempt.backend, Now());
   if (!failure.sent) {
+    context().backends.ReportUnreachable(attempt.backend, Now());
     --runs_;
     LogTrouble("not_sent", attempt.backend.value(), "connection failed");
     SendAgainOrEnd(Cost::kNone, {503, "backend_unreachable", kRetryAfterNone});
     return;
   }
+  context().backends.ReportFailure(attempt.backend, Now());
   if (failure.error == CallError::kClosed) {
     context().suspects.ReportBreak(admitted().fingerprint, Now());
   }
@@ -214,8 +215,7 @@
 
 void PlainRelay::OnNotRun(const BackendName& backend, bool is_wrong_server) {
   if (is_wrong_server) {
-    context().backends.ReportFailure(backend, Now());
-    context().backends.ReportFailure(backend, Now());
+    context().backends.ReportUnreachable(backend, Now());
   } else {
     context().backends.ReportFull(backend, Now());
   }
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -137,7 +137,11 @@
           [&](HttpHead& head) { head_ = std::move(head); },
           [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
           [&](HttpEnd&) { OnPromptEnd(); },
-          [&](CallFailure&) { OnPromptFailed("connection failed", false); },
+          [&](CallFailure& failure) {
+            OnPromptFailed("connection failed",
+                           failure.sent ? PromptFailure::kBroken
+                                        : PromptFailure::kUnreachable);
+          },
       },
       event);
 }
@@ -146,14 +150,15 @@
   EndCall();
   std::optional<std::string> handle = context().protocol.ReadHandle(body_);
   if (head_.status != kOk || !handle) {
-    OnPromptFailed("engine refused",
-                   context().protocol.ReadAnswer(head_).is_not_run);
+    bool is_refused = context().protocol.ReadAnswer(head_).is_not_run;
+    OnPromptFailed("engine refused", is_refused ? PromptFailure::kRefused
+                                                : PromptFailure::kBroken);
     return;
   }
   const BackendState* engine =
       context().backends.Find(*lifecycle_.placement().prefill);
   if (engine == nullptr) {
-    OnPromptFailed("engine gone", false);
+    OnPromptFailed("engine gone", PromptFailure::kBroken);
     return;
   }
   context().stats.prompt_time.Add(Now() - step_started_);
@@ -161,10 +166,10 @@
   lifecycle_.OnPromptRead(Now());
 }
 
-void StreamRelay::OnPromptFailed(absl::string_view why, bool is_refused) {
+void StreamRelay::OnPromptFailed(absl::string_view why, PromptFailure kind) {
   EndCall();
   LogTrouble("prefill_failed", lifecycle_.placement().prefill->value(), why);
-  lifecycle_.OnPromptFailed(is_refused, Now());
+  lifecycle_.OnPromptFailed(kind, Now());
 }
 
 void StreamRelay::SendDecode(const BackendName& engine, bool with_handle) {
@@ -263,7 +268,7 @@
 void StreamRelay::OnSilence() {
   if (lifecycle_.phase() == Phase::kPrompt) {
     CancelCall();
-    OnPromptFailed("no answer in time", false);
+    OnPromptFailed("no answer in time", PromptFailure::kBroken);
     return;
   }
   if (lifecycle_.phase() != Phase::kDecode) return;
--- a/unittests/dispatch/placement_test.cc
+++ b/unittests/dispatch/placement_test.cc
@@ -85,6 +85,21 @@
   CHECK(Chosen(table) == "back");
 }
 
+TEST_CASE("a server that can't be reached is avoided at once", "[dispatch]") {
+  BackendTable table;
+  table.Upsert(Record("gone"));
+  table.Upsert(Record("good", "b"));
+  const BackendState* gone = table.Find(BackendName("gone"));
+  // One request that broke off may be the request's own fault.
+  table.ReportFailure(BackendName("gone"), kStart);
+  CHECK(gone->suspect_until <= kStart);
+  table.ReportSuccess(BackendName("gone"), kStart);
+  table.ReportUnreachable(BackendName("gone"), kStart);
+  CHECK(gone->suspect_until > kStart);
+  CHECK(Chosen(table) == "good");
+  CHECK(Chosen(table, kStart + absl::Minutes(2)) == "gone");
+}
+
 TEST_CASE("a server that fails is avoided, then tried again", "[dispatch]") {
   BackendTable table;
   table.Upsert(Record("bad"));
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -155,7 +155,7 @@
   Stream it;
   it.lifecycle.Start(it.now);
   it.Schedule();
-  it.lifecycle.OnPromptFailed(/*is_refused=*/true, it.now);
+  it.lifecycle.OnPromptFailed(PromptFailure::kRefused, it.now);
   it.Schedule();
   REQUIRE(it.port.prompts.size() == 2);
   CHECK(it.port.prompts[0] != it.port.prompts[1]);
@@ -177,6 +177,23 @@
   it.CheckNothingHeld();
 }
 
+TEST_CASE("prompt calls that reach no engine cost no repeated send",
+          "[dispatch]") {
+  Stream it;
+  it.port.repeats_left = 0;
+  it.lifecycle.Start(it.now);
+  for (int n = 0; n < 2; ++n) {
+    it.Schedule();
+    REQUIRE(it.port.prompts.size() == static_cast<size_t>(n + 1));
+    const BackendName engine(it.port.prompts.back());
+    it.lifecycle.OnPromptFailed(PromptFailure::kUnreachable, it.now);
+    CHECK(it.table.Find(engine)->suspect_until > it.now);
+  }
+  it.Schedule();
+  CHECK_FALSE(it.port.ending.has_value());
+  it.CheckNothingHeld();
+}
+
 TEST_CASE("after three prompt calls the decoding engine reads it",
           "[dispatch]") {
   Stream it;
@@ -184,7 +201,7 @@
   for (int n = 0; n < 3; ++n) {
     it.Schedule();
     REQUIRE(it.port.prompts.size() == static_cast<size_t>(n + 1));
-    it.lifecycle.OnPromptFailed(/*is_refused=*/false, it.now);
+    it.lifecycle.OnPromptFailed(PromptFailure::kBroken, it.now);
   }
   REQUIRE(it.port.decodes.size() == 1);
   CHECK_FALSE(it.port.with_handles[0]);
@@ -363,7 +380,7 @@
   it.table.Remove(BackendName("p2"));
   it.lifecycle.Start(it.now);
   it.Schedule();
-  it.lifecycle.OnPromptFailed(/*is_refused=*/false, it.now);
+  it.lifecycle.OnPromptFailed(PromptFailure::kBroken, it.now);
   it.Schedule();
   REQUIRE(it.port.prompts.size() + it.port.decodes.size() == 2);
   it.CheckNothingHeld();
