--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -44,7 +44,7 @@
   }
   clients_.Respond(id, response);
   context_.stats.CountOutcome("-", absl::StrCat(reason));
-  if (status == 503) ++context_.stats.refusals[{"-", std::string(reason)}];
+  if (status == 503) ++context_.stats.refusals[{"-", absl::StrCat(reason)}];
   context_.log.Write(loop_.Now(), "request_rejected",
                      {{"id", facts.request_id},
                       {"status", status},
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -228,8 +228,9 @@
 
 std::map<std::string, absl::Time> PeerLink::Heard() const {
   std::map<std::string, absl::Time> heard;
-  for (const auto& it : alive_)
+  for (const auto& it : alive_) {
     heard[it.second.digest.sender] = it.second.heard;
+  }
   return heard;
 }
 
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -95,7 +95,7 @@
   bool is_refused = ending.status == 503;
   if (is_refused) {
     ++context_.stats
-          .refusals[{admitted_.route.name, std::string(ending.reason)}];
+          .refusals[{admitted_.route.name, absl::StrCat(ending.reason)}];
   }
   Finish(is_refused ? "refused" : "failed", ending.status, ending.reason);
 }
@@ -130,7 +130,8 @@
 
 void Relay::LogTrouble(absl::string_view event, absl::string_view backend,
                        absl::string_view detail) {
-  ++context_.stats.backend_trouble[{std::string(backend), std::string(event)}];
+  ++context_.stats
+        .backend_trouble[{absl::StrCat(backend), absl::StrCat(event)}];
   Log(event, backend, detail);
 }
 
--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -3,13 +3,14 @@
 #include "chervilwick/telemetry/log_timeline.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <map>
-#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/string_view.h"
 #include "chervilwick/telemetry/log_line.h"
 
 namespace chervilwick {
@@ -24,21 +25,30 @@
   LogLine line;
 };
 
-bool IsChange(const std::string& event) {
-  static const auto* const kEvents = new std::set<std::string>(
-      {"start", "stopping", "stop", "reload", "reload_failed", "store_lost",
-       "store_regained", "store_history_gone", "peer_lost", "stage_duty",
-       "stage_order", "readiness", "log_lines_dropped"});
-  return kEvents->count(event) != 0;
-}
-
+// Events that change what a process depends on or believes of itself.
+constexpr std::array<absl::string_view, 13> kChanges = {"start",
+                                                        "stopping",
+                                                        "stop",
+                                                        "reload",
+                                                        "reload_failed",
+                                                        "store_lost",
+                                                        "store_regained",
+                                                        "store_history_gone",
+                                                        "peer_lost",
+                                                        "stage_duty",
+                                                        "stage_order",
+                                                        "readiness",
+                                                        "log_lines_dropped"};
 // Events of one backend server that are told apart by it: trouble at one looks
 // unlike trouble at all.
-bool IsTrouble(const std::string& event) {
-  static const auto* const kEvents = new std::set<std::string>(
-      {"broke_off", "decode_broke_off", "decode_silent", "decode_refused",
-       "prefill_failed", "not_run", "not_sent", "unproven_answer"});
-  return kEvents->count(event) != 0;
+constexpr std::array<absl::string_view, 8> kTroubles = {
+    "broke_off",      "decode_broke_off", "decode_silent", "decode_refused",
+    "prefill_failed", "not_run",          "not_sent",      "unproven_answer"};
+
+template <size_t n>
+bool IsOneOf(const std::array<absl::string_view, n>& events,
+             absl::string_view event) {
+  return std::find(events.begin(), events.end(), event) != events.end();
 }
 
 std::string RowName(const LogLine& line) {
@@ -53,7 +63,7 @@
   if (line.event == "backend") {
     return absl::StrCat("backend ", line.Text("change"));
   }
-  if (IsTrouble(line.event)) {
+  if (IsOneOf(kTroubles, line.event)) {
     return absl::StrCat(line.event, " ", line.Text("backend"));
   }
   return line.event;
@@ -151,7 +161,7 @@
   size_t steps = step_of(lines.back().at) + 1;
   std::map<std::string, std::vector<uint64_t>> rows;
   for (const TimedLine& it : lines) {
-    if (IsChange(it.line.event)) {
+    if (IsOneOf(kChanges, it.line.event)) {
       out.changes.push_back({it.at, it.line.process, ChangeText(it.line)});
     }
     std::vector<uint64_t>& counts = rows[RowName(it.line)];
--- a/lib/telemetry/status_table.cc
+++ b/lib/telemetry/status_table.cc
@@ -18,10 +18,9 @@
   return it->dump();
 }
 
-const Json& Part(const Json& status, const char* name) {
-  static const Json* const kNone = new Json(Json::array());
+Json Part(const Json& status, const char* name) {
   auto it = status.find(name);
-  return it == status.end() ? *kNone : *it;
+  return it == status.end() ? Json::array() : *it;
 }
 
 std::string BackendLine(const Json& it) {
@@ -48,7 +47,7 @@
     absl::StrAppend(&out, "peer ", Cell(it, "name"), ", heard ",
                     Cell(it, "silent_ms"), " ms ago\n");
   }
-  const Json& budgets = Part(status, "repeats_left");
+  Json budgets = Part(status, "repeats_left");
   for (const auto& it : budgets.items()) {
     absl::StrAppend(&out, "service ", it.key(), ": repeated sends left ",
                     Cell(budgets, it.key().c_str()), "\n");
--- a/unittests/engine/engine_test.cc
+++ b/unittests/engine/engine_test.cc
@@ -16,6 +16,9 @@
 namespace chervilwick {
 namespace {
 
+// More than one thread and the queue before it hold.
+constexpr uint64_t kAttempts = 200;
+
 std::vector<std::string> ReadAll(const std::string& text, size_t width) {
   SseReader reader;
   std::vector<std::string> events;
@@ -75,7 +78,6 @@
         MutexLock lock(&mutex);
         not_sent += it.status == WorkStatus::kNotSent ? 1 : 0;
       });
-  constexpr uint64_t kAttempts = 200;
   for (uint64_t n = 1; n <= kAttempts; ++n) {
     StartWork start;
     start.attempt = {Incarnation(1), n};
--- a/unittests/front/front_test.cc
+++ b/unittests/front/front_test.cc
@@ -326,6 +326,21 @@
   CHECK(stream->body == StreamEvents(1, 8));
 }
 
+TEST_CASE("a stopping front waits for what is in flight", "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.SetFaults({"s1", "s2"}, Fault::kNeverAnswer);
+  it.front->BeginShutdown();
+  // Longer than the balancer takes to leave the front out.
+  auto answer = it.Ask("GET", "/check/x", "", /*deadline_ms=*/3400);
+  absl::Time began = it.loop.Now();
+  it.loop.RunFor(absl::Milliseconds(2900));
+  // The daemon stops its loop when it is done.
+  CHECK(it.loop.Now() - began >= absl::Milliseconds(2900));
+  it.loop.RunFor(absl::Milliseconds(500));
+  CHECK(answer->status == 504);
+}
+
 TEST_CASE("a front whom the store turns away learns from another", "[front]") {
   TestDeployment it;
   it.Start();
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr absl::Duration kSoon = absl::Milliseconds(200);
+// Where the kernel's range begins unless it is configured.
+constexpr uint16_t kFirstOutgoing = 32768;
 
 struct Seen {
   std::vector<int> statuses;
@@ -265,8 +267,6 @@
 
 // A front of a played day once found its port taken by an outgoing connection.
 TEST_CASE("ports of stand-ins are not those of outgoing connections", "[net]") {
-  // Where the kernel's range begins unless it is configured.
-  constexpr uint16_t kFirstOutgoing = 32768;
   uint16_t last = 0;
   for (int n = 0; n < 50; ++n) {
     uint16_t port = FreeEndpoint().port;
