Timeline: a start voids the clock of the run before

Each run has its own clock now; test red before. The test of a long stretch had its clock line before its start, which no front writes; its lines are in the order of a log.

--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -82,60 +82,71 @@
   return text;
 }
 
-// What to add to each process's clock, from a line on.
+// The time of day at which each process's clock began. It is another one from
+// each `start` on: the host may have started anew.
 class Clocks {
  public:
-  void Note(const LogLine& line) {
+  // One run of a process.
+  using Run = std::pair<std::string, uint64_t>;
+
+  Run Note(const LogLine& line) {
+    if (line.event == "start") ++runs_[line.process];
+    Run run{line.process, runs_[line.process]};
     absl::Time wall;
     std::string error;
-    if (line.event != "clock" ||
-        !absl::ParseTime(absl::RFC3339_full, line.Text("wall"), &wall,
-                         &error)) {
-      return;
+    if (line.event == "clock" &&
+        absl::ParseTime(absl::RFC3339_full, line.Text("wall"), &wall, &error)) {
+      zeros_[run] = wall - absl::Seconds(line.seconds);
+      first_zeros_.emplace(run, zeros_[run]);
     }
-    absl::Time zero = wall - absl::Seconds(line.seconds);
-    offsets_[line.process] = zero;
-    first_.emplace(line.process, zero);
+    return run;
   }
 
-  std::optional<absl::Time> At(const LogLine& line) const {
-    auto it = offsets_.find(line.process);
-    if (it == offsets_.end()) return std::nullopt;
-    return it->second + absl::Seconds(line.seconds);
+  // By the last `clock` line so far.
+  std::optional<absl::Time> At(const Run& run, const LogLine& line) const {
+    return Shift(zeros_, run, line);
+  }
+  // By the first `clock` line of all.
+  std::optional<absl::Time> AtByFirst(const Run& run,
+                                      const LogLine& line) const {
+    return Shift(first_zeros_, run, line);
   }
 
-  std::optional<absl::Time> AtByFirst(const LogLine& line) const {
-    auto it = first_.find(line.process);
-    if (it == first_.end()) return std::nullopt;
+ private:
+  static std::optional<absl::Time> Shift(const std::map<Run, absl::Time>& zeros,
+                                         const Run& run, const LogLine& line) {
+    auto it = zeros.find(run);
+    if (it == zeros.end()) return std::nullopt;
     return it->second + absl::Seconds(line.seconds);
   }
 
- private:
-  std::map<std::string, absl::Time> offsets_;
-  std::map<std::string, absl::Time> first_;
+  std::map<std::string, uint64_t> runs_;
+  std::map<Run, absl::Time> zeros_;
+  std::map<Run, absl::Time> first_zeros_;
 };
 
 std::vector<TimedLine> ReadLines(std::istream& logs, uint64_t& without_time) {
   Clocks clocks;
   std::vector<TimedLine> lines;
-  std::vector<LogLine> early;  // before their process's first clock line
+  // Lines before the first clock line of their run.
+  std::vector<std::pair<Clocks::Run, LogLine>> early;
   std::string text;
   while (std::getline(logs, text)) {
     std::optional<LogLine> line = ParseLogLine(text);
     if (!line) continue;
-    clocks.Note(*line);
+    Clocks::Run run = clocks.Note(*line);
     if (line->event == "clock") continue;
-    std::optional<absl::Time> at = clocks.At(*line);
+    std::optional<absl::Time> at = clocks.At(run, *line);
     if (at) {
       lines.push_back({*at, *std::move(line)});
     } else {
-      early.push_back(*std::move(line));
+      early.emplace_back(std::move(run), *std::move(line));
     }
   }
-  for (LogLine& it : early) {
-    std::optional<absl::Time> at = clocks.AtByFirst(it);
+  for (auto& it : early) {
+    std::optional<absl::Time> at = clocks.AtByFirst(it.first, it.second);
     if (at) {
-      lines.push_back({*at, std::move(it)});
+      lines.push_back({*at, std::move(it.second)});
     } else {
       ++without_time;
     }
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -151,11 +151,26 @@
   CHECK(TimelineJson(*timeline)["rows"]["broke_off s1"][1] == 2);
 }
 
+TEST_CASE("a start on a host that lost power is timed by its own clock line",
+          "[telemetry]") {
+  std::stringstream logs(
+      "{\"t\":5000,\"process\":\"f1\",\"event\":\"start\"}\n"
+      "{\"t\":5000,\"process\":\"f1\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:00+00:00\"}\n"
+      "{\"t\":9,\"process\":\"f1\",\"event\":\"start\"}\n"
+      "{\"t\":9,\"process\":\"f1\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:07+00:00\"}\n");
+  auto timeline = ReadTimeline(logs, absl::Seconds(2));
+  REQUIRE(timeline);
+  REQUIRE(timeline->rows.size() == 1);
+  CHECK(timeline->rows[0].counts == std::vector<uint64_t>{1, 0, 0, 1});
+}
+
 TEST_CASE("a timeline of a long stretch has longer steps", "[telemetry]") {
   std::stringstream logs(
+      "{\"t\":0,\"process\":\"f1\",\"event\":\"start\"}\n"
       "{\"t\":0,\"process\":\"f1\",\"event\":\"clock\","
       "\"wall\":\"2026-01-01T10:00:00+00:00\"}\n"
-      "{\"t\":1,\"process\":\"f1\",\"event\":\"start\"}\n"
       "{\"t\":86400,\"process\":\"f1\",\"event\":\"stop\"}\n");
   auto timeline = ReadTimeline(logs, absl::Seconds(1));
   REQUIRE(timeline);
