--- a/include/chervilwick/telemetry/log_timeline.h
+++ b/include/chervilwick/telemetry/log_timeline.h
@@ -37,9 +37,9 @@
 };
 
 // Counts the lines of decision logs of any number of processes by steps of
-// time; a stretch of many steps gets longer ones. A process's clock is set by
-// its last `clock` line before a line, or by the first since its start. Nothing
-// if no line has a time.
+// time; a stretch of many steps gets longer ones. Each process's clock is set
+// by its last `clock` line before a line, or by its first. Nothing if no line
+// has a time.
 std::optional<Timeline> ReadTimeline(std::istream& logs, absl::Duration step);
 std::string FormatTimeline(const Timeline& timeline);
 nlohmann::json TimelineJson(const Timeline& timeline);
