Read again: one way to say how a call failed, tests of a front by subject

Found by reading the whole change once more: - A repeated send that was paid for and reached no engine was paid again by the next call: the count was taken back, the payment lost. Calls are paid for by arrivals now, and an unused payment serves the next call; test red before. - OnDecodeBroken took two flags beside prompts' enum; DecodeFailure replaces them. The fields of a log line were rendered in two places.

--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -79,6 +79,13 @@
   kBroken,       // the engine broke off, answered badly or too late
 };
 
+// Why a stream was not generated to its end.
+enum class DecodeFailure {
+  kUnreachable,  // the call did not arrive
+  kClosed,       // the engine closed the connection, as one that crashes does
+  kBroken,       // it answered badly or fell silent
+};
+
 // Waits for a place, has the prompt read, then the stream generated. What an
 // engine refuses is tried elsewhere; what broke off goes on at another engine
 // only where the route says that it may.
@@ -129,9 +136,7 @@
   // The engine said that it did not run the stream; `is_wrong_server` if it is
   // another one than was meant.
   void OnDecodeNotRun(bool is_wrong_server, absl::Time now);
-  // `sent`: bytes may have reached the engine. `closed`: it closed the
-  // connection, as one that crashes does.
-  void OnDecodeBroken(bool sent, bool closed, absl::Time now);
+  void OnDecodeBroken(DecodeFailure why, absl::Time now);
   SilenceVerdict OnDecodeSilent(absl::Time now);
 
   // Gives all places back; the port hears nothing more.
@@ -147,9 +152,11 @@
   StreamJob MakeJob(absl::Time now) const;
   void StartPrompt();
   void StartDecode(absl::Time now);
-  // Takes a repeated send out of the budget if this is not the first send; if
-  // there is none left, ends the stream.
+  // Takes a repeated send out of the budget if this is not the first send and
+  // none that was taken is left; if there is none, ends the stream.
   bool PayForSend();
+  // Ends it by what the client has of it and may have run.
+  void End(absl::string_view reason, absl::Duration retry_after);
   bool HasFreshHandle(absl::Time now) const;
   bool MayResume() const;
   void DropHandle();
@@ -166,7 +173,8 @@
   std::optional<absl::Time> handle_made_;
   absl::Time step_started_;
   std::set<BackendName> excluded_;
-  uint32_t counted_sends_ = 0;  // that the retry budget counts
+  uint32_t arrivals_ = 0;       // sends that the retry budget counts
+  uint32_t repeats_taken_ = 0;  // out of the budget
   uint32_t prompt_sends_ = 0;
   uint32_t decode_sends_ = 0;
   uint32_t runs_ = 0;  // decode sends that may have run
--- a/include/chervilwick/telemetry/log_line.h
+++ b/include/chervilwick/telemetry/log_line.h
@@ -18,6 +18,8 @@
 
   // A field's text; empty if there is none or it is no text.
   std::string Text(const char* name) const;
+  // The fields that are the line's own, as "name=value name=value".
+  std::string FieldsText() const;
 };
 
 // Reads a line; text before its JSON object is skipped. Nothing if it is not a
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -103,19 +103,24 @@
   port_.WakeScheduler();
 }
 
-void StreamLifecycle::OnRefused(const StreamRefusal& refusal) {
+void StreamLifecycle::End(absl::string_view reason,
+                          absl::Duration retry_after) {
   StreamEnding ending;
-  ending.reason = ReasonText(refusal.reason);
+  ending.reason = reason;
   if (is_streaming_) {
     ending.kind = StreamEnding::Kind::kCut;
   } else if (runs_ > 0) {
     ending.kind = StreamEnding::Kind::kFailed;
   } else {
-    ending.retry_after = refusal.retry_after;
+    ending.retry_after = retry_after;
   }
   port_.End(ending);
 }
 
+void StreamLifecycle::OnRefused(const StreamRefusal& refusal) {
+  End(ReasonText(refusal.reason), refusal.retry_after);
+}
+
 void StreamLifecycle::OnPlaced(const StreamPlacement& placement,
                                absl::Time now) {
   placement_ = placement;
@@ -130,7 +135,12 @@
 }
 
 bool StreamLifecycle::PayForSend() {
-  if (counted_sends_ == 0 || port_.TakeRepeat()) return true;
+  // One that was taken for a call that did not arrive serves the next.
+  if (arrivals_ <= repeats_taken_) return true;
+  if (port_.TakeRepeat()) {
+    ++repeats_taken_;
+    return true;
+  }
   Release();
   DropHandle();
   OnRefused({terms_.id, StreamRefusalReason::kNoBudget, kRetryAfterFull});
@@ -140,7 +150,7 @@
 void StreamLifecycle::StartPrompt() {
   if (!PayForSend()) return;
   // The first prompt call counts as a send only if the engine refuses it.
-  if (prompt_sends_ > 0) ++counted_sends_;
+  if (prompt_sends_ > 0) ++arrivals_;
   phase_ = Phase::kPrompt;
   ++prompt_sends_;
   port_.SendPrompt(
@@ -165,11 +175,11 @@
   bool was_counted = prompt_sends_ > 1;
   switch (why) {
     case PromptFailure::kRefused:
-      if (!was_counted) ++counted_sends_;
+      if (!was_counted) ++arrivals_;
       services_.backends.ReportFull(prefill, now);
       break;
     case PromptFailure::kUnreachable:
-      if (was_counted) --counted_sends_;
+      if (was_counted) --arrivals_;
       services_.backends.ReportUnreachable(prefill, now);
       excluded_.insert(prefill);
       break;
@@ -201,7 +211,7 @@
     return;
   }
   if (!PayForSend()) return;
-  ++counted_sends_;
+  ++arrivals_;
   ++decode_sends_;
   ++runs_;
   step_started_ = now;
@@ -248,40 +258,27 @@
          decode_sends_ < kMaxDecodeSends;
 }
 
-void StreamLifecycle::OnDecodeBroken(bool sent, bool closed, absl::Time now) {
+void StreamLifecycle::OnDecodeBroken(DecodeFailure why, absl::Time now) {
   BackendName decode = placement_->decode;
-  if (sent) {
-    services_.backends.ReportFailure(decode, now);
-  } else {
+  bool is_unreachable = why == DecodeFailure::kUnreachable;
+  if (is_unreachable) {
+    --runs_;
+    --arrivals_;
     services_.backends.ReportUnreachable(decode, now);
+  } else {
+    services_.backends.ReportFailure(decode, now);
   }
-  Release();
-  excluded_.insert(decode);
-  if (!sent) {
-    --runs_;
-    --counted_sends_;  // it reached no engine
-    if (decode_sends_ < kMaxDecodeSends) {
-      Submit(now);
-      return;
-    }
-  } else if (closed) {
+  if (why == DecodeFailure::kClosed) {
     services_.suspects.ReportBreak(terms_.fingerprint, now);
   }
-  if (sent && MayResume()) {
-    port_.OnResumed();
+  Release();
+  excluded_.insert(decode);
+  if (is_unreachable ? decode_sends_ < kMaxDecodeSends : MayResume()) {
+    if (!is_unreachable) port_.OnResumed();
     Submit(now);
     return;
   }
-  StreamEnding ending;
-  ending.reason = "backend_broke_off";
-  if (is_streaming_) {
-    ending.kind = StreamEnding::Kind::kCut;
-  } else if (runs_ > 0) {
-    ending.kind = StreamEnding::Kind::kFailed;
-  } else {
-    ending.retry_after = kRetryAfterFull;
-  }
-  port_.End(ending);
+  End("backend_broke_off", kRetryAfterFull);
 }
 
 StreamLifecycle::SilenceVerdict StreamLifecycle::OnDecodeSilent(
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -127,13 +127,19 @@
   void OnPrompt(PromptResult result) {
     EndCall();
     absl::Time now = front_.queue_.now();
-    if (result == PromptResult::kRead) {
-      lifecycle_.OnPromptRead(now);
-    } else {
-      lifecycle_.OnPromptFailed(result == PromptResult::kRefused
-                                    ? PromptFailure::kRefused
-                                    : PromptFailure::kBroken,
-                                now);
+    switch (result) {
+      case PromptResult::kRead:
+        lifecycle_.OnPromptRead(now);
+        return;
+      case PromptResult::kRefused:
+        lifecycle_.OnPromptFailed(PromptFailure::kRefused, now);
+        return;
+      case PromptResult::kUnreachable:
+        lifecycle_.OnPromptFailed(PromptFailure::kUnreachable, now);
+        return;
+      case PromptResult::kBroken:
+        lifecycle_.OnPromptFailed(PromptFailure::kBroken, now);
+        return;
     }
   }
 
@@ -158,12 +164,12 @@
       case DecodeEvent::kUnreachable:
         EndCall();
         tokens_before_ = tokens_;
-        lifecycle_.OnDecodeBroken(/*sent=*/false, /*closed=*/false, now);
+        lifecycle_.OnDecodeBroken(DecodeFailure::kUnreachable, now);
         return;
       case DecodeEvent::kBroken:
         EndCall();
         tokens_before_ = tokens_;
-        lifecycle_.OnDecodeBroken(/*sent=*/true, /*closed=*/true, now);
+        lifecycle_.OnDecodeBroken(DecodeFailure::kClosed, now);
         return;
     }
   }
@@ -184,7 +190,7 @@
       case StreamLifecycle::SilenceVerdict::kResume:
         CancelCall();
         tokens_before_ = tokens_;
-        lifecycle_.OnDecodeBroken(/*sent=*/true, /*closed=*/false, now);
+        lifecycle_.OnDecodeBroken(DecodeFailure::kBroken, now);
         return;
     }
   }
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -49,6 +49,12 @@
   std::vector<MetricSample> samples_;
 };
 
+// Null if infinite: not known, as before the first answer.
+Json MillisecondsOrNull(absl::Duration duration) {
+  if (duration == absl::InfiniteDuration()) return nullptr;
+  return absl::ToInt64Milliseconds(duration);
+}
+
 // The first that holds, from what keeps most requests away.
 const char* StateName(const BackendState& backend, absl::Time now) {
   if (backend.record.draining) return "draining";
@@ -59,11 +65,8 @@
   return "ready";
 }
 
-}  // namespace
-
-std::string FrontDaemon::Metrics() const {
-  const FrontStats& stats = context_.stats;
-  SampleList list;
+// Requests by how they ended and what went wrong on the way.
+void AddRequestCounts(const FrontStats& stats, SampleList& list) {
   for (const auto& it : stats.outcomes) {
     list.Count("front_requests_total", "Requests that ended, by outcome.",
                static_cast<double>(it.second),
@@ -79,6 +82,9 @@
                static_cast<double>(it.second),
                {{"backend", it.first.first}, {"event", it.first.second}});
   }
+}
+
+void AddLatencies(const FrontStats& stats, SampleList& list) {
   for (const auto& it : stats.answer_time) {
     list.Histogram("front_answer_seconds", "Time to the end of the answer.",
                    it.second, {{"route", it.first}});
@@ -93,6 +99,9 @@
   }
   list.Histogram("front_prompt_seconds", "Time of the prefill step.",
                  stats.prompt_time, {});
+}
+
+void AddCounts(const FrontStats& stats, SampleList& list) {
   for (const auto& it : stats.store_calls) {
     list.Count("front_store_calls_total", "Calls to the store, by status.",
                static_cast<double>(it.second), {{"status", it.first}});
@@ -112,12 +121,21 @@
         stats.quarantined);
   count("front_store_items_malformed_total", "Store items that name nothing.",
         stats.malformed_items);
-  count("front_log_lines_dropped_total", "Log lines that found no room.",
-        context_.log.dropped());
   count("front_peer_datagrams_bad_total", "Datagrams that were no digest.",
         stats.peer_datagrams_bad);
-  count("front_backend_connections_total", "Connections made.",
-        context_.client.connections_made());
+}
+
+}  // namespace
+
+std::string FrontDaemon::Metrics() const {
+  SampleList list;
+  AddRequestCounts(context_.stats, list);
+  AddLatencies(context_.stats, list);
+  AddCounts(context_.stats, list);
+  list.Count("front_log_lines_dropped_total", "Log lines that found no room.",
+             static_cast<double>(context_.log.dropped()));
+  list.Count("front_backend_connections_total", "Connections made.",
+             static_cast<double>(context_.client.connections_made()));
   list.Gauge("process_start_time_seconds", "Start, as Unix time.",
              absl::ToDoubleSeconds(started_ - absl::UnixEpoch()));
   list.Gauge("front_in_flight", "Requests in flight.",
@@ -168,7 +186,7 @@
       {"version", table_.version.value()},
       {"store_revision", store_.revision()},
       {"store_reachable", store_.is_reachable()},
-      {"store_age_ms", absl::ToInt64Milliseconds(now - store_.last_answer())},
+      {"store_age_ms", MillisecondsOrNull(now - store_.last_answer())},
       {"peers", peers},
       {"repeats_left", budgets},
       {"in_flight", relays_.size()},
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -3,7 +3,6 @@
 #include "chervilwick/front/relay.h"
 
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -17,29 +16,8 @@
 // leave its outcome unknown.
 constexpr absl::Duration kMaxIdleRunOnce = absl::Seconds(1);
 
-absl::Time BootTime() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return absl::TimeFromTimespec(now);
-}
-
 }  // namespace
 
-FrontContext::FrontContext(EventLoop& event_loop,
-                           const OutsideProtocol& outside,
-                           const FrontSettings& front_settings,
-                           int log_descriptor)
-    : loop(event_loop),
-      protocol(outside),
-      settings(front_settings),
-      log(log_descriptor, front_settings.name),
-      client(event_loop, front_settings.contact_limit),
-      scheduler(backends, ZoneName(front_settings.zone),
-                StreamSchedulerOptions()),
-      quota({front_settings.retry_ratio, front_settings.retry_slack,
-             front_settings.retry_window}),
-      boot_time(BootTime) {}
-
 Relay::Relay(FrontContext& context, AdmittedRequest admitted, Finished finished)
     : context_(context),
       admitted_(std::move(admitted)),
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -261,7 +261,10 @@
   EndCall();
   LogTrouble("decode_broke_off", lifecycle_.placement().decode.value(),
              failure.sent ? "connection closed" : "not sent");
-  lifecycle_.OnDecodeBroken(failure.sent, failure.error == CallError::kClosed,
+  bool is_closed = failure.error == CallError::kClosed;
+  lifecycle_.OnDecodeBroken(!failure.sent ? DecodeFailure::kUnreachable
+                            : is_closed   ? DecodeFailure::kClosed
+                                          : DecodeFailure::kBroken,
                             Now());
 }
 
--- a/lib/telemetry/log_line.cc
+++ b/lib/telemetry/log_line.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace chervilwick {
 
 std::string LogLine::Text(const char* name) const {
@@ -11,6 +13,19 @@
   return it != fields.end() && it->is_string() ? it->get<std::string>() : "";
 }
 
+std::string LogLine::FieldsText() const {
+  std::string text;
+  for (const auto& it : fields.items()) {
+    bool is_common = it.key() == "t" || it.key() == "process" ||
+                     it.key() == "event" || it.key() == "id";
+    if (is_common) continue;
+    std::string value = it.value().is_string() ? it.value().get<std::string>()
+                                               : it.value().dump();
+    absl::StrAppend(&text, text.empty() ? "" : " ", it.key(), "=", value);
+  }
+  return text;
+}
+
 std::optional<LogLine> ParseLogLine(const std::string& line) {
   size_t begin = line.find('{');
   if (begin == std::string::npos) return std::nullopt;
--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/string_view.h"
@@ -45,12 +46,6 @@
     "broke_off",      "decode_broke_off", "decode_silent", "decode_refused",
     "prefill_failed", "not_run",          "not_sent",      "unproven_answer"};
 
-template <size_t n>
-bool IsOneOf(const std::array<absl::string_view, n>& events,
-             absl::string_view event) {
-  return std::find(events.begin(), events.end(), event) != events.end();
-}
-
 std::string RowName(const LogLine& line) {
   if (line.event == "request_done") {
     std::string outcome = line.Text("outcome");
@@ -63,25 +58,12 @@
   if (line.event == "backend") {
     return absl::StrCat("backend ", line.Text("change"));
   }
-  if (IsOneOf(kTroubles, line.event)) {
+  if (absl::c_linear_search(kTroubles, line.event)) {
     return absl::StrCat(line.event, " ", line.Text("backend"));
   }
   return line.event;
 }
 
-std::string ChangeText(const LogLine& line) {
-  std::string text = line.event;
-  for (const auto& it : line.fields.items()) {
-    if (it.key() == "t" || it.key() == "process" || it.key() == "event") {
-      continue;
-    }
-    absl::StrAppend(&text, " ", it.key(), "=",
-                    it.value().is_string() ? it.value().get<std::string>()
-                                           : it.value().dump());
-  }
-  return text;
-}
-
 // The time of day at which each process's clock began. It is another one from
 // each `start` on: the host may have started anew.
 class Clocks {
@@ -172,8 +154,10 @@
   size_t steps = step_of(lines.back().at) + 1;
   std::map<std::string, std::vector<uint64_t>> rows;
   for (const TimedLine& it : lines) {
-    if (IsOneOf(kChanges, it.line.event)) {
-      out.changes.push_back({it.at, it.line.process, ChangeText(it.line)});
+    if (absl::c_linear_search(kChanges, it.line.event)) {
+      out.changes.push_back(
+          {it.at, it.line.process,
+           absl::StrCat(it.line.event, " ", it.line.FieldsText())});
     }
     std::vector<uint64_t>& counts = rows[RowName(it.line)];
     counts.resize(steps);
--- a/lib/telemetry/request_story.cc
+++ b/lib/telemetry/request_story.cc
@@ -22,17 +22,7 @@
 };
 
 StoryLine ToStoryLine(const LogLine& from) {
-  StoryLine line{from.seconds, from.process, from.event, ""};
-  for (const auto& it : from.fields.items()) {
-    bool is_shown = it.key() == "t" || it.key() == "process" ||
-                    it.key() == "event" || it.key() == "id";
-    if (is_shown) continue;
-    std::string value = it.value().is_string() ? it.value().get<std::string>()
-                                               : it.value().dump();
-    absl::StrAppend(&line.fields, line.fields.empty() ? "" : " ", it.key(), "=",
-                    value);
-  }
-  return line;
+  return {from.seconds, from.process, from.event, from.FieldsText()};
 }
 
 }  // namespace
--- /dev/null
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -0,0 +1,140 @@
+// A stream before a small fleet, without a network.
+
+#ifndef CHERVILWICK_UNITTESTS_DISPATCH_LIFECYCLE_FIXTURE_H_
+#define CHERVILWICK_UNITTESTS_DISPATCH_LIFECYCLE_FIXTURE_H_
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chervilwick/dispatch/stream_lifecycle.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+
+inline const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+inline const ServiceName kService("models");
+inline const Fingerprint kFingerprint(7);
+inline constexpr absl::Duration kStep = absl::Milliseconds(20);
+
+// Records what the lifecycle wants done.
+class RecordingPort : public StreamPort {
+ public:
+  absl::Duration Patience() const override { return absl::Seconds(3); }
+  absl::Duration HandleLifetime() const override {
+    return absl::Milliseconds(500);
+  }
+  bool TakeRepeat() override {
+    if (repeats_left == 0) return false;
+    --repeats_left;
+    return true;
+  }
+  void SendPrompt(const BackendName& engine,
+                  absl::Duration /*patience*/) override {
+    prompts.push_back(engine.value());
+  }
+  void SendDecode(const BackendName& engine, bool with_handle) override {
+    decodes.push_back(engine.value());
+    with_handles.push_back(with_handle);
+  }
+  void FreeHandle() override { ++freed; }
+  void OnResumed() override { ++resumed; }
+  void End(const StreamEnding& it) override {
+    ending = it;
+    ++endings;
+  }
+  void WakeScheduler() override {}
+
+  int repeats_left = 100;
+  std::vector<std::string> prompts;
+  std::vector<std::string> decodes;
+  std::vector<bool> with_handles;
+  int freed = 0;
+  int resumed = 0;
+  std::optional<StreamEnding> ending;
+  int endings = 0;
+};
+
+// One stream before a small fleet.
+class Stream {
+ public:
+  explicit Stream(bool resumable = false, int decode_engines = 5)
+      : scheduler(table, ZoneName("a"), StreamSchedulerOptions()),
+        lifecycle({table, scheduler, suspects}, Terms(resumable), port) {
+    for (int n = 0; n < 3; ++n) Add("p", n, EngineStage::kPrefill);
+    for (int n = 0; n < decode_engines; ++n) Add("d", n, EngineStage::kDecode);
+    ServiceTraits traits;
+    traits.engine = EngineTraits();
+    traits.engine->memory_tokens = 38000;
+    scheduler.SetEngineTraits({{kService, traits}});
+  }
+
+  static StreamTerms Terms(bool resumable) {
+    StreamTerms terms;
+    terms.id = ExchangeId(1);
+    terms.service = kService;
+    terms.fingerprint = kFingerprint;
+    terms.arrived = kStart;
+    terms.objective = absl::Milliseconds(900);
+    terms.pause_objective = absl::Milliseconds(300);
+    terms.attempts = 3;
+    terms.resumable = resumable;
+    terms.prompt_tokens = 3000;
+    terms.max_output_tokens = 2000;
+    terms.output_hint = 800;
+    return terms;
+  }
+
+  void Add(const std::string& kind, int n, EngineStage stage) {
+    BackendRecord record;
+    record.id = BackendName(kind + std::to_string(n));
+    record.service = kService;
+    record.zone = ZoneName("a");
+    record.slots = 64;
+    record.stage = stage;
+    table.Upsert(record);
+  }
+
+  // Lets the scheduler decide, a step later.
+  void Schedule() {
+    now += kStep;
+    for (const StreamDecision& it : scheduler.Decide(now)) {
+      std::visit(Overloaded{
+                     [&](const StreamPlacement& placement) {
+                       lifecycle.OnPlaced(placement, now);
+                     },
+                     [&](const StreamRefusal& refusal) {
+                       lifecycle.OnRefused(refusal);
+                     },
+                 },
+                 it);
+    }
+  }
+
+  void StartAndReadPrompt() {
+    lifecycle.Start(now);
+    Schedule();
+    REQUIRE(port.prompts.size() == 1);
+    now += kStep;
+    lifecycle.OnPromptRead(now);
+  }
+
+  // After the end, nothing of the fleet may be held.
+  void CheckNothingHeld() {
+    lifecycle.Close();
+    for (const auto& it : table.all()) CHECK(it.second.own == BackendUse());
+    CHECK(scheduler.waiting() == 0);
+  }
+
+  absl::Time now = kStart;
+  BackendTable table;
+  StreamScheduler scheduler;
+  CrashSuspects suspects;
+  RecordingPort port;
+  StreamLifecycle lifecycle;
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_UNITTESTS_DISPATCH_LIFECYCLE_FIXTURE_H_
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -3,133 +3,13 @@
 #include "chervilwick/dispatch/stream_lifecycle.h"
 
 #include <catch2/catch.hpp>
-#include <optional>
 #include <string>
-#include <vector>
 
-#include "chervilwick/support/overloaded.h"
+#include "lifecycle_fixture.h"
 
 namespace chervilwick {
 namespace {
 
-const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
-const ServiceName kService("models");
-const Fingerprint kFingerprint(7);
-constexpr absl::Duration kStep = absl::Milliseconds(20);
-
-// Records what the lifecycle wants done.
-class Port : public StreamPort {
- public:
-  absl::Duration Patience() const override { return absl::Seconds(3); }
-  absl::Duration HandleLifetime() const override {
-    return absl::Milliseconds(500);
-  }
-  bool TakeRepeat() override {
-    if (repeats_left == 0) return false;
-    --repeats_left;
-    return true;
-  }
-  void SendPrompt(const BackendName& engine,
-                  absl::Duration /*patience*/) override {
-    prompts.push_back(engine.value());
-  }
-  void SendDecode(const BackendName& engine, bool with_handle) override {
-    decodes.push_back(engine.value());
-    with_handles.push_back(with_handle);
-  }
-  void FreeHandle() override { ++freed; }
-  void OnResumed() override { ++resumed; }
-  void End(const StreamEnding& it) override { ending = it; }
-  void WakeScheduler() override {}
-
-  int repeats_left = 100;
-  std::vector<std::string> prompts;
-  std::vector<std::string> decodes;
-  std::vector<bool> with_handles;
-  int freed = 0;
-  int resumed = 0;
-  std::optional<StreamEnding> ending;
-};
-
-// One stream before a small fleet.
-class Stream {
- public:
-  explicit Stream(bool resumable = false, int decode_engines = 5)
-      : scheduler(table, ZoneName("a"), StreamSchedulerOptions()),
-        lifecycle({table, scheduler, suspects}, Terms(resumable), port) {
-    for (int n = 0; n < 3; ++n) Add("p", n, EngineStage::kPrefill);
-    for (int n = 0; n < decode_engines; ++n) Add("d", n, EngineStage::kDecode);
-    ServiceTraits traits;
-    traits.engine = EngineTraits();
-    traits.engine->memory_tokens = 38000;
-    scheduler.SetEngineTraits({{kService, traits}});
-  }
-
-  static StreamTerms Terms(bool resumable) {
-    StreamTerms terms;
-    terms.id = ExchangeId(1);
-    terms.service = kService;
-    terms.fingerprint = kFingerprint;
-    terms.arrived = kStart;
-    terms.objective = absl::Milliseconds(900);
-    terms.pause_objective = absl::Milliseconds(300);
-    terms.attempts = 3;
-    terms.resumable = resumable;
-    terms.prompt_tokens = 3000;
-    terms.max_output_tokens = 2000;
-    terms.output_hint = 800;
-    return terms;
-  }
-
-  void Add(const std::string& kind, int n, EngineStage stage) {
-    BackendRecord record;
-    record.id = BackendName(kind + std::to_string(n));
-    record.service = kService;
-    record.zone = ZoneName("a");
-    record.slots = 64;
-    record.stage = stage;
-    table.Upsert(record);
-  }
-
-  // Lets the scheduler decide, a step later.
-  void Schedule() {
-    now += kStep;
-    for (const StreamDecision& it : scheduler.Decide(now)) {
-      std::visit(Overloaded{
-                     [&](const StreamPlacement& placement) {
-                       lifecycle.OnPlaced(placement, now);
-                     },
-                     [&](const StreamRefusal& refusal) {
-                       lifecycle.OnRefused(refusal);
-                     },
-                 },
-                 it);
-    }
-  }
-
-  void StartAndReadPrompt() {
-    lifecycle.Start(now);
-    Schedule();
-    REQUIRE(port.prompts.size() == 1);
-    now += kStep;
-    lifecycle.OnPromptRead(now);
-  }
-
-  // After the end, nothing of the fleet may be held.
-  void CheckNothingHeld() {
-    lifecycle.Close();
-    for (const auto& it : table.all()) CHECK(it.second.own == BackendUse());
-    CHECK(scheduler.waiting() == 0);
-  }
-
-  absl::Time now = kStart;
-  BackendTable table;
-  StreamScheduler scheduler;
-  CrashSuspects suspects;
-  Port port;
-  StreamLifecycle lifecycle;
-};
-
 TEST_CASE("a prompt is read, then its stream generated from it", "[dispatch]") {
   Stream it;
   it.lifecycle.Start(it.now);
@@ -168,7 +48,7 @@
   Stream it;
   it.port.repeats_left = 0;
   it.StartAndReadPrompt();
-  it.lifecycle.OnDecodeBroken(/*sent=*/false, /*closed=*/false, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kUnreachable, it.now);
   it.Schedule();
   CHECK_FALSE(it.port.ending.has_value());
   REQUIRE(it.port.decodes.size() == 2);
@@ -177,6 +57,28 @@
   it.CheckNothingHeld();
 }
 
+TEST_CASE("a repeated send that reached no engine serves the next call",
+          "[dispatch]") {
+  Stream it;
+  it.port.repeats_left = 1;
+  it.StartAndReadPrompt();
+  it.lifecycle.OnDecodeNotRun(/*is_wrong_server=*/false, it.now);
+  it.Schedule();
+  REQUIRE(it.port.decodes.size() == 2);
+  CHECK(it.port.repeats_left == 0);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kUnreachable, it.now);
+  it.Schedule();
+  CHECK_FALSE(it.port.ending.has_value());
+  REQUIRE(it.port.decodes.size() == 3);
+  // That one arrived: a fourth would be one too many.
+  it.lifecycle.OnDecodeNotRun(/*is_wrong_server=*/false, it.now);
+  it.Schedule();
+  REQUIRE(it.port.ending.has_value());
+  CHECK(it.port.ending->reason == "retry_budget_used_up");
+  CHECK(it.port.decodes.size() == 3);
+  it.CheckNothingHeld();
+}
+
 TEST_CASE("prompt calls that reach no engine cost no repeated send",
           "[dispatch]") {
   Stream it;
@@ -253,7 +155,7 @@
 TEST_CASE("a stream that may run once is not run again", "[dispatch]") {
   Stream it;
   it.StartAndReadPrompt();
-  it.lifecycle.OnDecodeBroken(/*sent=*/true, /*closed=*/true, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   REQUIRE(it.port.ending.has_value());
   CHECK(it.port.ending->kind == StreamEnding::Kind::kFailed);
   CHECK(it.port.ending->retry_after == absl::ZeroDuration());
@@ -266,7 +168,7 @@
   Stream it;
   it.StartAndReadPrompt();
   it.lifecycle.OnStreaming();
-  it.lifecycle.OnDecodeBroken(true, true, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   REQUIRE(it.port.ending.has_value());
   CHECK(it.port.ending->kind == StreamEnding::Kind::kCut);
   it.CheckNothingHeld();
@@ -275,7 +177,7 @@
 TEST_CASE("a call that was never sent is no run", "[dispatch]") {
   Stream it;
   it.StartAndReadPrompt();
-  it.lifecycle.OnDecodeBroken(/*sent=*/false, /*closed=*/false, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kUnreachable, it.now);
   CHECK_FALSE(it.port.ending.has_value());
   CHECK(it.lifecycle.runs() == 0);
   it.Schedule();
@@ -288,7 +190,7 @@
   Stream it(/*resumable=*/true);
   it.StartAndReadPrompt();
   it.lifecycle.OnStreaming();
-  it.lifecycle.OnDecodeBroken(true, true, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   CHECK(it.port.resumed == 1);
   it.Schedule();
   it.now += kStep;
@@ -297,11 +199,11 @@
   CHECK(it.port.decodes[0] != it.port.decodes[1]);
   // No more runs than the route allows: three.
   it.lifecycle.OnStreaming();
-  it.lifecycle.OnDecodeBroken(true, true, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   it.Schedule();
   it.lifecycle.OnPromptRead(it.now);
   REQUIRE(it.port.decodes.size() == 3);
-  it.lifecycle.OnDecodeBroken(true, true, it.now);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   REQUIRE(it.port.ending.has_value());
   CHECK(it.port.ending->kind == StreamEnding::Kind::kCut);
   CHECK(it.suspects.IsQuarantined(kFingerprint));
--- /dev/null
+++ b/unittests/front/discovery_test.cc
@@ -0,0 +1,116 @@
+// What a front learns from the store, and from others where the store fails it.
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "deployment.h"
+#include "raw_peer.h"
+
+namespace chervilwick {
+namespace {
+
+using Json = nlohmann::json;
+
+TEST_CASE("before a configuration is known nothing gets a 4xx", "[front]") {
+  TestDeployment it;
+  it.store.SetFault(PlatformStore::Fault::kBusy);
+  it.Start();
+  CHECK(it.Get("GET", "/chervilwick/readyz", it.settings.ready).status == 503);
+  Answer refused = it.Get("GET", "/check/x");
+  CHECK(refused.status == 503);
+  CHECK(refused.head.Find("Retry-After") != nullptr);
+  it.store.SetFault(PlatformStore::Fault::kNone);
+  it.loop.RunFor(absl::Milliseconds(900));
+  CHECK(it.Get("GET", "/check/x").status == 200);
+  CHECK(it.Get("GET", "/nowhere/x").status == 404);
+}
+
+TEST_CASE("a draining server gets nothing new", "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.store.Put("servers/s1", it.engines.at("s1")->Entry("draining"));
+  it.loop.RunFor(absl::Milliseconds(50));
+  for (int n = 0; n < 4; ++n) CHECK(it.Get("POST", "/book/x").status == 200);
+  CHECK(it.Runs("s1") == 0);
+}
+
+TEST_CASE("a server that lapsed in an outage is used until it is gone",
+          "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.store.SetFault(PlatformStore::Fault::kSilent);
+  it.loop.RunFor(absl::Seconds(4));
+  CHECK(it.Get("POST", "/book/x").status == 200);
+  it.store.Remove("servers/s1");
+  it.store.Remove("servers/s2");
+  it.store.SetFault(PlatformStore::Fault::kNone);
+  it.loop.RunFor(absl::Milliseconds(1500));
+  CHECK(it.Get("POST", "/book/x").status == 200);
+  it.store.Put("servers/s1", it.engines.at("s1")->Entry());
+  it.loop.RunFor(absl::Milliseconds(2300));
+  size_t before = it.Runs("s2");
+  CHECK(it.Get("POST", "/book/x").status == 200);
+  CHECK(it.Runs("s2") == before);
+}
+
+TEST_CASE("changes in a forgotten part of the history are found", "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.store.PutUnheard("servers/s1", it.engines.at("s1")->Entry("draining"));
+  it.store.PutUnheard("op/config", DeploymentConfig(5).dump());
+  it.store.ForgetHistory();
+  it.loop.RunFor(absl::Milliseconds(200));
+  CHECK(it.LogText().find("\"version\":5") != std::string::npos);
+  size_t before = it.Runs("s1");
+  for (int n = 0; n < 4; ++n) CHECK(it.Get("POST", "/book/x").status == 200);
+  CHECK(it.Runs("s1") == before);
+}
+
+TEST_CASE("a version never goes back", "[front]") {
+  TestDeployment it;
+  it.Start();
+  Json newer = DeploymentConfig(9);
+  newer["routes"].erase(0);
+  it.store.Put("op/config", newer.dump());
+  it.loop.RunFor(absl::Milliseconds(100));
+  CHECK(it.Get("POST", "/book/x").status == 404);
+  it.store.Put("op/config", DeploymentConfig(4).dump());
+  it.loop.RunFor(absl::Milliseconds(100));
+  CHECK(it.Get("POST", "/book/x").status == 404);
+}
+
+TEST_CASE("a malformed entry harms no other", "[front]") {
+  TestDeployment it;
+  it.store.Put("servers/bad", "{not json");
+  it.store.Put("servers/s9", R"({"service":"desk","addr":"x"})");
+  it.Start();
+  CHECK(it.Get("POST", "/book/x").status == 200);
+  CHECK(it.front->context().stats.malformed_items == 2);
+}
+
+TEST_CASE("a front whom the store turns away learns from another", "[front]") {
+  TestDeployment it;
+  it.Start();
+  // Same ports on another loopback address, as on another host.
+  FrontSettings second = it.settings;
+  auto move = [](std::string& address) { address.replace(0, 9, "127.0.0.2"); };
+  for (std::string* address : {&second.clients, &second.ready, &second.control,
+                               &second.metrics, &second.peers}) {
+    move(*address);
+  }
+  second.name = "front-2";
+  second.seeds = it.settings.control;
+  second.store = FreeEndpoint().ToString();
+  FrontDaemon other(it.loop, second, "", it.protocol);
+  REQUIRE_FALSE(other.Start().has_value());
+  it.loop.RunFor(absl::Milliseconds(1500));
+  CHECK(other.IsReady());
+  CHECK(it.Get("GET", "/check/x", second.clients).status == 200);
+  // The store has never answered it.
+  Json status = Json::parse(it.Get("GET", "/status", second.control).body);
+  CHECK(status["store_age_ms"].is_null());
+}
+
+}  // namespace
+}  // namespace chervilwick
--- /dev/null
+++ b/unittests/front/peers_test.cc
@@ -0,0 +1,83 @@
+// What fronts tell each other.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+
+namespace chervilwick {
+namespace {
+
+using Json = nlohmann::json;
+using Fault = PlatformEngine::Fault;
+
+TEST_CASE("what fronts tell each other survives the way", "[front]") {
+  PeerUseUpdate update;
+  update.incarnation = 5;
+  update.sequence = 6;
+  update.waiting_streams = 7;
+  update.use[BackendName("d1")] = {2, 8200, 3100};
+  update.use[BackendName("d2")] = BackendUse();
+  std::string bytes = EncodeUpdate(update);
+  std::optional<PeerUseUpdate> read = DecodeUpdate(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->incarnation == 5);
+  CHECK(read->sequence == 6);
+  CHECK(read->waiting_streams == 7);
+  CHECK(read->use == update.use);
+  // An update is no digest, and a torn one is nothing.
+  CHECK_FALSE(DecodeDigest(bytes).has_value());
+  for (size_t n = 0; n < bytes.size(); ++n) {
+    CHECK_FALSE(DecodeUpdate(bytes.substr(0, n)).has_value());
+  }
+  CHECK_FALSE(DecodeUpdate(bytes + "x").has_value());
+}
+
+// The other front counts the place long before the next full digest.
+TEST_CASE("a placed stream is told to the other front at once", "[front]") {
+  TestDeployment it;
+  it.Start();
+  FrontSettings settings = it.PeerSettings("front-2");
+  std::FILE* log = std::tmpfile();
+  FrontDaemon peer(it.loop, settings, "", it.protocol, fileno(log));
+  REQUIRE_FALSE(peer.Start().has_value());
+  it.loop.RunFor(absl::Milliseconds(600));
+  // As that front counts them; asking it over HTTP would take longer than the
+  // word of a placement does.
+  auto used = [&] {
+    int64_t tokens = 0;
+    for (const auto& backend : peer.context().backends.all()) {
+      tokens += backend.second.Total().memory_tokens;
+    }
+    return tokens;
+  };
+  REQUIRE(Json::parse(it.Get("GET", "/status", settings.metrics).body)["peers"]
+              .size() == 1);
+  CHECK(used() == 0);
+  // Their places stay taken for as long as engines stay silent.
+  it.SetFaults({"d1", "d2"}, Fault::kNeverAnswer);
+  std::vector<absl::Duration> waits;
+  for (int n = 1; n <= 7; ++n) {
+    absl::Time asked = it.loop.Now();
+    it.Ask("POST", "/note/x");
+    while (used() < 4100 * int64_t{n} &&
+           it.loop.Now() - asked < absl::Seconds(1)) {
+      it.loop.RunFor(absl::Milliseconds(1));
+    }
+    waits.push_back(it.loop.Now() - asked);
+    // At different times of the interval at which other changes are told.
+    it.loop.RunFor(absl::Milliseconds(n));
+  }
+  std::sort(waits.begin(), waits.end());
+  CHECK(waits[3] < absl::Milliseconds(20));
+  it.loop.RunFor(absl::Milliseconds(2600));
+  CHECK(used() == 0);
+  std::fclose(log);
+}
+
+}  // namespace
+}  // namespace chervilwick
--- /dev/null
+++ b/unittests/front/stage_orders_test.cc
@@ -0,0 +1,53 @@
+// Orders to engines.
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "deployment.h"
+
+namespace chervilwick {
+namespace {
+
+using Json = nlohmann::json;
+
+TEST_CASE("surplus prefill engines are ordered to decode, once", "[front]") {
+  TestDeployment it;
+  for (const char* id : {"p2", "p3", "p4"}) it.Add(id, "llm", "prefill");
+  it.Start();
+  it.loop.RunFor(absl::Seconds(5));
+  size_t orders = 0;
+  for (const auto& engine : it.engines) {
+    for (const Json& order : engine.second->orders) {
+      ++orders;
+      CHECK(order["stage"] == "decode");
+      CHECK(order["holder"] == "front-1");
+      CHECK(order["fence"].get<uint64_t>() > 0);
+    }
+  }
+  CHECK(orders >= 1);
+  CHECK(orders <= 3);
+  CHECK(it.store.Has("duty/stages"));
+}
+
+TEST_CASE("a front that was suspended orders nothing under its old lease",
+          "[front]") {
+  TestDeployment it;
+  for (const char* id : {"p2", "p3", "p4"}) it.Add(id, "llm", "prefill");
+  it.Start();
+  absl::Duration suspended;
+  it.front->SetBootClock([&] { return it.loop.Now() + suspended; });
+  for (int n = 0; n < 100 && !it.store.Has("duty/stages"); ++n) {
+    it.loop.RunFor(absl::Milliseconds(50));
+  }
+  REQUIRE(it.store.Has("duty/stages"));
+  it.loop.RunFor(absl::Milliseconds(300));
+  // A lease lasts 12 s.
+  suspended = absl::Seconds(13);
+  it.loop.RunFor(absl::Seconds(2));
+  for (const auto& engine : it.engines) CHECK(engine.second->orders.empty());
+  CHECK(it.LogText().find("\"why\":\"lease over\"") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace chervilwick
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -13,6 +13,7 @@
 
 #include "chervilwick/telemetry/log_timeline.h"
 #include "chervilwick/telemetry/request_story.h"
+#include "chervilwick/telemetry/status_table.h"
 
 namespace chervilwick {
 namespace {
@@ -166,6 +167,25 @@
   CHECK(timeline->rows[0].counts == std::vector<uint64_t>{1, 0, 0, 1});
 }
 
+TEST_CASE("a front's state is shown, whatever it leaves out", "[telemetry]") {
+  std::string old = FormatFrontStatus({{"name", "f1"}});
+  CHECK(old.find("f1 in -: NOT READY, version -") != std::string::npos);
+  CHECK(old.find("NOT REACHABLE") != std::string::npos);
+  std::string table =
+      FormatFrontStatus({{"name", "f1"},
+                         {"zone", "a"},
+                         {"ready", true},
+                         {"store_reachable", true},
+                         {"peers", {{{"name", "f2"}, {"silent_ms", 120}}}},
+                         {"repeats_left", {{"desk", 3.25}}},
+                         {"backends", {{{"id", "s1"}, {"state", "suspect"}}}}});
+  CHECK(table.find("f1 in a: ready") != std::string::npos);
+  CHECK(table.find("peer f2, heard 120 ms ago") != std::string::npos);
+  CHECK(table.find("service desk: repeated sends left 3.25") !=
+        std::string::npos);
+  CHECK(table.find("suspect") != std::string::npos);
+}
+
 TEST_CASE("a timeline of a long stretch has longer steps", "[telemetry]") {
   std::stringstream logs(
       "{\"t\":0,\"process\":\"f1\",\"event\":\"start\"}\n"
