One front's word that a server can't be reached reaches all

Cause: an engine that falls over stays in the list for three heartbeats, and each of 33 fronts found out by itself, forgot after 0.4 s and placed again. Change: a front that can't reach a server tells the others at once, with the start that it means and how long it avoids it. They use it after the others meanwhile, each for up to 1.6 times as long, so that the front that knows tries first. Nobody is argued out of a server heard within 150 ms, hearsay isn't passed on, ends with a new start, and sets at most half of a service aside. A prompt that was read goes to another engine if its decoding engine was found unreachable meanwhile. The log tells a full engine from another server or stage at the address. Tests: five cases in dispatch, red without the change.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -41,6 +41,12 @@
   uint32_t time_percent = 100;
   // No requests until then: the last ones failed.
   absl::Time suspect_until = absl::InfinitePast();
+  // The same by the word of another front.
+  absl::Time hearsay_until = absl::InfinitePast();
+  // Last sign of life, here: bytes of a request that went on.
+  absl::Time alive_at = absl::InfinitePast();
+  // This front found out by itself that it can't be reached.
+  absl::Time found_unreachable = absl::InfinitePast();
   int failures_in_a_row = 0;
   // No requests until then: it said that it is full.
   absl::Time full_until = absl::InfinitePast();
@@ -62,21 +68,26 @@
   double FailureRate(absl::Time now) const;
   void NoteOutcome(bool failed, absl::Time now);
   BackendUse Total() const;
+  bool IsSuspect(absl::Time now) const {
+    return suspect_until > now || hearsay_until > now;
+  }
   bool IsLeaving() const { return record.draining || announced_leaving; }
 };
 
-// What one start of a backend server said in its answers, as fronts tell it to
-// each other. The discovery list lags behind it.
+// What a front knows of one start of a backend server at first hand, as fronts
+// tell it to each other. The discovery list lags behind it.
 struct BackendNotice {
   enum class Kind : uint8_t {
-    kLeaving,  // it takes no new requests any more
-    kQuiet,    // it asked the sender for no requests for a while
+    kLeaving,      // it takes no new requests any more
+    kQuiet,        // it asked the sender for no requests for a while
+    kUnreachable,  // the sender can't reach it, and avoids it for a while
   };
+  static constexpr Kind kLastKind = Kind::kUnreachable;
 
   BackendName backend;
   int64_t born_unix_ms = 0;  // the start that said it
   Kind kind = Kind::kLeaving;
-  absl::Duration left = absl::ZeroDuration();  // of a pause
+  absl::Duration left = absl::ZeroDuration();  // of a pause or avoidance
 
   friend bool operator==(const BackendNotice& a, const BackendNotice& b) {
     return a.backend == b.backend && a.born_unix_ms == b.born_unix_ms &&
@@ -116,7 +127,7 @@
   // The server answered with a failure of its own.
   void ReportError(const BackendName& id, absl::Time now);
   // Bytes of a request that goes on came from it.
-  void ReportAlive(const BackendName& id);
+  void ReportAlive(const BackendName& id, absl::Time now);
   // A request ended well there.
   void ReportSuccess(const BackendName& id, absl::Time now);
   // It refused a request. The pause doubles with each refusal in a row.
@@ -129,9 +140,12 @@
   bool ReportQuiet(const BackendName& id, absl::Time until, absl::Time now);
   // What servers have lately told this front itself, for the other fronts.
   std::vector<BackendNotice> Notices(absl::Time now);
-  // Another front was told so. Its pauses don't bind this front: servers that
-  // asked for one are used after the others.
-  void TakeNotice(const BackendNotice& notice, absl::Time now);
+  // Another front says so. Servers that asked it for a pause, or that it can't
+  // reach, are used after the others, but for those that this front hears
+  // itself; its word never sets more than half of a service aside, as a front
+  // that is cut off reaches no server.
+  // True if that is news.
+  bool TakeNotice(const BackendNotice& notice, absl::Time now);
   // When the first server of a service that may get requests wants them again;
   // none if one wants them now, or there is no server.
   std::optional<absl::Time> QuietEnd(const ServiceName& service,
@@ -161,6 +175,7 @@
   };
 
   void AddPeers(const std::map<BackendName, BackendUse>& use, bool add);
+  bool SetAside(BackendState& backend, absl::Duration time, absl::Time now);
   // The announcement of that start, or a new one; null if a later start has
   // announced something.
   Announcement* Announced(const BackendName& id, int64_t born, absl::Time now);
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -189,6 +189,7 @@
   bool is_streaming_ = false;  // the client has the head
   bool reads_at_decode_ = false;
   bool was_silent_ = false;
+  bool placed_on_suspect_ = false;  // there was no other decoding engine
 };
 
 // Name of a reason in logs and metrics.
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -27,9 +27,13 @@
 // Longer than a server that leaves lives on, and than its entry may lapse.
 constexpr absl::Duration kAnnouncementMemory = absl::Minutes(10);
 constexpr size_t kMaxAnnouncements = 4096;
-// Servers that asked another front for a pause come after the others for at
-// most so long, whatever they asked for.
-constexpr absl::Duration kLongestHearsayPause = absl::Seconds(2);
+// Another front's word keeps a server behind the others for at most so long.
+constexpr absl::Duration kLongestHearsay = absl::Seconds(4);
+// A server that was heard here since then lives, whatever another front says:
+// a few events of a stream.
+constexpr absl::Duration kOwnEvidence = absl::Milliseconds(150);
+// Part of a service's servers that hearsay may set aside.
+constexpr double kMaxHearsayShare = 0.5;
 
 }  // namespace
 
@@ -170,28 +174,59 @@
                          announcement.quiet_until - now});
     }
   }
+  for (const auto& it : backends_) {
+    const BackendState& backend = it.second;
+    bool is_fresh = now - backend.found_unreachable < kTellTime;
+    if (!is_fresh || backend.suspect_until <= now) continue;
+    notices.push_back({it.first, backend.record.born_unix_ms,
+                       BackendNotice::Kind::kUnreachable,
+                       backend.suspect_until - now});
+  }
   return notices;
 }
 
-void BackendTable::TakeNotice(const BackendNotice& notice, absl::Time now) {
+bool BackendTable::TakeNotice(const BackendNotice& notice, absl::Time now) {
   BackendState* backend = Find(notice.backend);
   bool is_known =
       backend != nullptr && backend->record.born_unix_ms == notice.born_unix_ms;
   switch (notice.kind) {
-    case BackendNotice::Kind::kLeaving:
+    case BackendNotice::Kind::kLeaving: {
       if (Announcement* announcement =
               Announced(notice.backend, notice.born_unix_ms, now)) {
         announcement->leaving = true;
       }
-      if (is_known) backend->announced_leaving = true;
-      return;
+      if (!is_known || backend->announced_leaving) return false;
+      backend->announced_leaving = true;
+      return true;
+    }
     case BackendNotice::Kind::kQuiet:
-      if (!is_known) return;
-      backend->suspect_until =
-          std::max(backend->suspect_until,
-                   now + std::min(notice.left, kLongestHearsayPause));
-      return;
+      return is_known && SetAside(*backend, notice.left, now);
+    case BackendNotice::Kind::kUnreachable:
+      if (!is_known || now - backend->alive_at < kOwnEvidence) return false;
+      return SetAside(*backend, notice.left, now);
+  }
+  return false;
+}
+
+bool BackendTable::SetAside(BackendState& backend, absl::Duration time,
+                            absl::Time now) {
+  absl::Time until = now + std::min(time, kLongestHearsay);
+  if (backend.hearsay_until > now) {
+    backend.hearsay_until = std::max(backend.hearsay_until, until);
+    return false;
   }
+  size_t all = 0;
+  size_t aside = 1;
+  for (const auto& it : backends_) {
+    if (it.second.record.service != backend.record.service) continue;
+    ++all;
+    if (it.second.hearsay_until > now) ++aside;
+  }
+  bool is_too_many =
+      static_cast<double>(aside) > kMaxHearsayShare * static_cast<double>(all);
+  if (is_too_many) return false;
+  backend.hearsay_until = until;
+  return true;
 }
 
 std::optional<absl::Time> BackendTable::QuietEnd(const ServiceName& service,
@@ -250,7 +285,7 @@
     if (backend.quiet_until > now || backend.changing_until > now) continue;
     if (!is_usable(backend)) continue;
     if (excluded.count(it.first) != 0) continue;
-    (backend.suspect_until > now ? suspects : trusted).push_back(&backend);
+    (backend.IsSuspect(now) ? suspects : trusted).push_back(&backend);
   }
   return trusted.empty() ? suspects : trusted;
 }
@@ -274,6 +309,7 @@
   if (backend == nullptr) return;
   backend->failures_in_a_row =
       std::max(backend->failures_in_a_row, kFailuresTolerated);
+  backend->found_unreachable = now;
   ReportFailure(id, now);
 }
 
@@ -282,11 +318,13 @@
   if (backend != nullptr) backend->NoteOutcome(/*failed=*/true, now);
 }
 
-void BackendTable::ReportAlive(const BackendName& id) {
+void BackendTable::ReportAlive(const BackendName& id, absl::Time now) {
   BackendState* backend = Find(id);
   if (backend == nullptr) return;
   backend->failures_in_a_row = 0;
   backend->suspect_until = absl::InfinitePast();
+  backend->hearsay_until = absl::InfinitePast();
+  backend->alive_at = now;
 }
 
 void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
@@ -294,7 +332,7 @@
   if (backend == nullptr) return;
   backend->NoteOutcome(/*failed=*/false, now);
   backend->refusals_in_a_row = 0;
-  ReportAlive(id);
+  ReportAlive(id, now);
 }
 
 void BackendTable::ReportFull(const BackendName& id, absl::Time now) {
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -126,6 +126,8 @@
   placement_ = placement;
   holds_prompt_place_ = placement.prompt_tokens > 0;
   holds_decode_place_ = true;
+  const BackendState* decode = services_.backends.Find(placement.decode);
+  placed_on_suspect_ = decode != nullptr && decode->IsSuspect(now);
   step_started_ = now;
   if (placement.prefill) {
     StartPrompt();
@@ -207,7 +209,10 @@
   phase_ = Phase::kDecode;
   const BackendState* decode = services_.backends.Find(placement_->decode);
   // It may have gone or asked for quiet while the prompt was read.
-  if (decode == nullptr || decode->quiet_until > now) {
+  bool is_unusable = decode == nullptr || decode->quiet_until > now;
+  // Or been found unreachable: the prompt still serves another engine.
+  bool is_lost = !is_unusable && !placed_on_suspect_ && decode->IsSuspect(now);
+  if (is_unusable || is_lost) {
     Release();
     Submit(now);
     return;
@@ -230,7 +235,7 @@
 void StreamLifecycle::OnProgress(absl::Time now) {
   was_silent_ = false;
   last_event_ = now;
-  services_.backends.ReportAlive(placement_->decode);
+  services_.backends.ReportAlive(placement_->decode, now);
 }
 
 void StreamLifecycle::OnWhole(absl::Time now) {
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -27,6 +27,22 @@
 // Left of the shutdown limit when what is still open is cut.
 constexpr absl::Duration kShutdownMargin = absl::Milliseconds(150);
 
+// The front that found a server unreachable tries it first; the others wait for
+// up to so many times as long, and hear what it finds.
+constexpr double kMaxNoticeStretch = 1.6;
+
+const char* NoticeText(BackendNotice::Kind kind) {
+  switch (kind) {
+    case BackendNotice::Kind::kLeaving:
+      return "leaving, says a peer";
+    case BackendNotice::Kind::kQuiet:
+      return "quiet, says a peer";
+    case BackendNotice::Kind::kUnreachable:
+      return "unreachable, says a peer";
+  }
+  return "unknown";
+}
+
 std::string ReadText(const std::string& file) {
   std::ifstream in(file);
   std::ostringstream text;
@@ -262,8 +278,15 @@
   for (const auto& it : digest.changing) {
     context_.backends.SetChanging(it.first, loop_.Now() + it.second);
   }
-  for (const BackendNotice& it : digest.notices) {
-    context_.backends.TakeNotice(it, loop_.Now());
+  for (BackendNotice it : digest.notices) {
+    // Fronts that were told together must not try the server again together.
+    it.left *= absl::Uniform(random_, 1.0, kMaxNoticeStretch);
+    if (!context_.backends.TakeNotice(it, loop_.Now())) continue;
+    context_.log.Write(loop_.Now(), "backend",
+                       {{"backend", it.backend.value()},
+                        {"change", NoticeText(it.kind)},
+                        {"peer", digest.sender},
+                        {"left_ms", it.left}});
   }
   peer_copy_.OnDigest(digest, from);
   if (context_.scheduler.waiting() == 0) return;
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -61,7 +61,7 @@
   if (backend.lapses_at) return "lapsed";
   if (backend.changing_until > now) return "changing";
   if (backend.quiet_until > now) return "quiet";
-  if (backend.suspect_until > now) return "suspect";
+  if (backend.IsSuspect(now)) return "suspect";
   if (backend.full_until > now) return "full";
   return "ready";
 }
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -120,7 +120,7 @@
 std::vector<BackendNotice> FromEntries(const List<NoticeEntry>& entries) {
   std::vector<BackendNotice> notices;
   for (const NoticeEntry& it : entries.items) {
-    if (it.kind > static_cast<uint8_t>(BackendNotice::Kind::kQuiet)) continue;
+    if (it.kind > static_cast<uint8_t>(BackendNotice::kLastKind)) continue;
     notices.push_back({BackendName(it.backend), it.born_unix_ms,
                        static_cast<BackendNotice::Kind>(it.kind),
                        absl::Milliseconds(it.left_ms)});
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -255,7 +255,9 @@
   AnswerFacts facts = context().protocol.ReadAnswer(head_);
   if (facts.is_not_run) {
     LogTrouble("decode_refused", engine,
-               handle_ ? "full or prompt gone" : "full");
+               facts.is_wrong_server ? "another server or stage"
+               : handle_             ? "full or prompt gone"
+                                     : "full");
     lifecycle_.OnDecodeNotRun(facts.is_wrong_server, Now());
     return;
   }
--- a/unittests/dispatch/announcement_test.cc
+++ b/unittests/dispatch/announcement_test.cc
@@ -169,6 +169,71 @@
   CHECK(leaving > 0);
 }
 
+BackendNotice Unreachable(const std::string& id, absl::Duration left) {
+  return {BackendName(id), 1, BackendNotice::Kind::kUnreachable, left};
+}
+
+// Load: an engine falls over before 33 fronts, each of which would find out by
+// itself, with a prompt read in vain for each try.
+TEST_CASE("a server that one front can't reach is avoided by all",
+          "[dispatch][unreachable]") {
+  BackendTable here;
+  BackendTable there;
+  for (BackendTable* it : {&here, &there}) {
+    for (const char* id : {"s1", "s2", "s3"}) it->Upsert(Record(id));
+  }
+  here.ReportUnreachable(kLeaver, kStart);
+  std::vector<BackendNotice> notices = here.Notices(kStart);
+  REQUIRE(notices.size() == 1);
+  there.TakeNotice(notices[0], kStart);
+  for (const char* used : {"s2", "s3"}) {
+    there.Find(BackendName(used))->own.requests = 5;
+  }
+  CHECK(Chosen(there) != "s1");
+  // Hearsay isn't passed on, and fades.
+  CHECK(there.Notices(kStart).empty());
+  CHECK(Chosen(there, kStart + absl::Seconds(5)) == "s1");
+  // It may have started anew meanwhile.
+  there.TakeNotice(notices[0], kStart);
+  there.Upsert(Record("s1", 2));
+  CHECK(Chosen(there) == "s1");
+}
+
+TEST_CASE("nobody is argued out of a server that it hears itself",
+          "[dispatch][unreachable]") {
+  BackendTable table;
+  for (const char* id : {"s1", "s2", "s3"}) table.Upsert(Record(id));
+  for (const char* used : {"s2", "s3"}) {
+    table.Find(BackendName(used))->own.requests = 5;
+  }
+  table.ReportAlive(kLeaver, kStart - absl::Milliseconds(50));
+  table.TakeNotice(Unreachable("s1", absl::Seconds(4)), kStart);
+  CHECK(Chosen(table) == "s1");
+  // Nor out of one that it hears after it was told.
+  table.TakeNotice(Unreachable("s1", absl::Seconds(4)),
+                   kStart + absl::Seconds(1));
+  CHECK(Chosen(table, kStart + absl::Seconds(1)) != "s1");
+  table.ReportAlive(kLeaver, kStart + absl::Seconds(1));
+  CHECK(Chosen(table, kStart + absl::Seconds(1)) == "s1");
+}
+
+TEST_CASE("a front that is cut off does not set a whole service aside",
+          "[dispatch][unreachable]") {
+  BackendTable table;
+  for (int it = 0; it < 10; ++it) {
+    table.Upsert(Record("s" + std::to_string(it)));
+  }
+  for (int it = 0; it < 10; ++it) {
+    table.TakeNotice(Unreachable("s" + std::to_string(it), absl::Seconds(4)),
+                     kStart);
+  }
+  int trusted = 0;
+  for (const auto& it : table.all()) {
+    trusted += it.second.IsSuspect(kStart) ? 0 : 1;
+  }
+  CHECK(trusted == 5);
+}
+
 StreamJob Job(uint64_t id) {
   StreamJob job;
   job.id = ExchangeId(id);
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -261,6 +261,37 @@
   CHECK(it.port.with_handles[0]);
 }
 
+// Load: an engine falls over while the prompts of its next streams are read.
+TEST_CASE("a prompt that was read goes to a sound engine", "[dispatch]") {
+  Stream it;
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  REQUIRE(it.port.prompts.size() == 1);
+  BackendName chosen = it.lifecycle.placement().decode;
+  it.table.TakeNotice(
+      {chosen, 0, BackendNotice::Kind::kUnreachable, absl::Seconds(1)}, it.now);
+  it.lifecycle.OnPromptRead(it.now);
+  CHECK(it.port.decodes.empty());
+  it.Schedule();
+  REQUIRE(it.port.decodes.size() == 1);
+  CHECK(it.port.decodes[0] != chosen.value());
+  CHECK(it.port.with_handles[0]);
+  CHECK(it.port.prompts.size() == 1);
+  it.CheckNothingHeld();
+}
+
+TEST_CASE("among suspects alone a stream is sent all the same", "[dispatch]") {
+  Stream it(/*resumable=*/false, /*decode_engines=*/2);
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  for (const char* id : {"d0", "d1"}) {
+    it.table.ReportUnreachable(BackendName(id), it.now);
+  }
+  it.lifecycle.OnPromptRead(it.now);
+  it.Schedule();
+  CHECK(it.port.decodes.size() == 1);
+}
+
 TEST_CASE("without a repeated send left a refusal is final", "[dispatch]") {
   Stream it;
   it.port.repeats_left = 0;
