Streams whose prompt has been read go first; a lapsed prompt is read apart

Change: such streams have a queue of their own, served first for as long as the cache is kept; after that they wait like any other and their prompt is read apart. Tests: two new cases; one case was made stricter, since it asked only for a second decode call and now asks for the prompt and its cache too.

--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -30,8 +30,9 @@
   absl::Time give_up_at;       // the client won't wait longer for an event
   uint32_t prompt_tokens = 0;
   uint32_t output_tokens = 0;  // expected
-  // Its prompt has been read already: only a decoding engine is needed.
-  bool has_prompt = false;
+  // Until then its prompt's KV cache waits at the engine that read it, and only
+  // a decoding engine is needed; for ever if that engine reads it itself.
+  absl::Time prompt_kept_until = absl::InfinitePast();
   std::set<BackendName> excluded;  // engines that failed it
 };
 
@@ -93,9 +94,10 @@
 absl::Duration DelayAfterPeerUse(uint64_t draw);
 
 // Answers demand that doubles within seconds while engines fail or drain:
-// streams that can still meet their objective go first, by due time; those that
-// can't use what is left; what can't be served within its client's patience is
-// refused at arrival.
+// streams whose prompt has just been read go first, as it lapses within half a
+// second; then those that can still meet their objective, by due time; those
+// that can't use what is left; what can't be served within its client's
+// patience is refused at arrival.
 class StreamScheduler {
  public:
   // Streams that wait are looked at again after that time: well under the
@@ -125,13 +127,17 @@
   // Streams that wait at the other fronts.
   void SetPeersWaiting(size_t streams) { peers_waiting_ = streams; }
 
-  size_t waiting() const { return on_time_.size() + late_.size(); }
+  size_t waiting() const {
+    return kept_.size() + on_time_.size() + late_.size();
+  }
 
  private:
   enum class Class { kOnTime, kLate };
 
   void ServeClass(std::deque<StreamJob>& queue, Class which, absl::Time now,
                   std::vector<StreamDecision>& out);
+  // Streams whose prompt has lapsed wait like those without.
+  void RequeueLapsed(absl::Time now);
   void DemoteLate(absl::Time now);
   void RefuseHopeless(absl::Time now, std::vector<StreamDecision>& out);
   std::optional<StreamPlacement> Place(const StreamJob& job, Class which,
@@ -154,6 +160,7 @@
   BackendTable& backends_;
   ZoneName zone_;
   StreamSchedulerOptions options_;
+  std::deque<StreamJob> kept_;     // with a prompt, by when it lapses
   std::deque<StreamJob> on_time_;  // by priority and due time
   std::deque<StreamJob> late_;     // by priority and arrival
   size_t peers_waiting_ = 0;
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -87,7 +87,12 @@
     job.output_tokens =
         std::min(job.output_tokens, static_cast<uint32_t>(expected));
   }
-  job.has_prompt = reads_at_decode_ || HasFreshHandle(now);
+  if (reads_at_decode_) {
+    job.prompt_kept_until = absl::InfiniteFuture();
+  } else if (HasFreshHandle(now)) {
+    job.prompt_kept_until =
+        *handle_made_ + port_.HandleLifetime() * kHandleShare;
+  }
   job.excluded = excluded_;
   return job;
 }
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -43,6 +43,13 @@
   return backend.record.stage == EngineStage::kPrefill;
 }
 
+// Whether its prompt's KV cache waits for it and will lapse. One that is to be
+// read at the decoding engine can wait like any other.
+bool IsKept(const StreamJob& job, absl::Time now) {
+  return job.prompt_kept_until > now &&
+         job.prompt_kept_until != absl::InfiniteFuture();
+}
+
 // A server that was removed and found again starts at zero; use from before
 // must not make it negative.
 void GiveBack(BackendUse& use, const BackendUse& part) {
@@ -92,8 +99,9 @@
 }
 
 absl::Duration StreamScheduler::ServiceTime(const StreamJob& job) const {
-  absl::Duration prompt =
-      job.has_prompt ? absl::ZeroDuration() : PromptTime(job.prompt_tokens);
+  absl::Duration prompt = job.prompt_kept_until == absl::InfinitePast()
+                              ? PromptTime(job.prompt_tokens)
+                              : absl::ZeroDuration();
   return prompt + options_.first_event_overhead;
 }
 
@@ -140,7 +148,11 @@
           : memory_per_stream_ +
                 kLearningRate *
                     (static_cast<double>(MemoryNeed(job)) - memory_per_stream_);
-  bool has_room = on_time_.empty() && HasRoom(job, now);
+  if (IsKept(job, now)) {
+    InsertByPriority(kept_, std::move(job), &StreamJob::prompt_kept_until);
+    return std::nullopt;
+  }
+  bool has_room = kept_.empty() && on_time_.empty() && HasRoom(job, now);
   size_t ahead = has_room ? 0 : on_time_.size() + peers_waiting_ + 1;
   absl::Duration wait = ExpectedWait(job, ahead, now);
   absl::Time first_event = now + wait + ServiceTime(job);
@@ -163,15 +175,20 @@
                        [&](const StreamJob& it) { return it.id == id; }),
         queue.end());
   };
+  remove(kept_);
   remove(on_time_);
   remove(late_);
 }
 
 std::vector<StreamDecision> StreamScheduler::Decide(absl::Time now) {
   std::vector<StreamDecision> out;
+  RequeueLapsed(now);
   DemoteLate(now);
-  ServeClass(on_time_, Class::kOnTime, now, out);
-  if (on_time_.empty()) ServeClass(late_, Class::kLate, now, out);
+  ServeClass(kept_, Class::kOnTime, now, out);
+  if (kept_.empty()) ServeClass(on_time_, Class::kOnTime, now, out);
+  if (kept_.empty() && on_time_.empty()) {
+    ServeClass(late_, Class::kLate, now, out);
+  }
   RefuseHopeless(now, out);
   return out;
 }
@@ -188,6 +205,20 @@
   }
 }
 
+void StreamScheduler::RequeueLapsed(absl::Time now) {
+  std::deque<StreamJob> kept;
+  for (StreamJob& it : kept_) {
+    if (IsKept(it, now)) {
+      kept.push_back(std::move(it));
+      continue;
+    }
+    it.prompt_kept_until = absl::InfinitePast();
+    // Demoted below if it is late.
+    InsertByPriority(on_time_, std::move(it), &StreamJob::first_event_due);
+  }
+  kept_ = std::move(kept);
+}
+
 void StreamScheduler::DemoteLate(absl::Time now) {
   for (auto it = on_time_.begin(); it != on_time_.end();) {
     if (now + ServiceTime(*it) <= it->first_event_due) {
@@ -222,7 +253,8 @@
   placement.decode = decode->record.id;
   placement.memory_tokens = MemoryNeed(job);
   placement.waited = now - job.arrived;
-  if (!job.has_prompt && decode->record.stage == EngineStage::kDecode) {
+  bool needs_prompt = job.prompt_kept_until <= now;
+  if (needs_prompt && decode->record.stage == EngineStage::kDecode) {
     BackendState* prefill = ChoosePrefill(job, decode->record.zone, now);
     if (prefill == nullptr) return std::nullopt;
     if (prefill->record.stage == EngineStage::kPrefill) {
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -339,7 +339,13 @@
   it.lifecycle.OnDecodeNotRun(/*is_wrong_server=*/false, it.now);
   it.now += absl::Milliseconds(1100);  // it said that it was full
   it.Schedule();
+  // Its prompt has lapsed meanwhile: decoding without it would hold up what
+  // the engine generates.
+  REQUIRE(it.port.prompts.size() == 2);
+  CHECK(it.port.decodes.size() == 1);
+  it.lifecycle.OnPromptRead(it.now);
   CHECK(it.port.decodes.size() == 2);
+  CHECK(it.port.with_handles == std::vector<bool>{true, true});
   it.CheckNothingHeld();
 }
 
--- a/unittests/dispatch/stream_scheduler_test.cc
+++ b/unittests/dispatch/stream_scheduler_test.cc
@@ -248,5 +248,43 @@
   CHECK(played.on_time + played.late + played.refused >= 390);
 }
 
+// Load: at a crest a full engine turns a stream away whose prompt has been
+// read; its KV cache lapses within half a second.
+TEST_CASE("a stream whose prompt is kept goes before the others",
+          "[dispatch]") {
+  Fleet fleet(2, 1);
+  fleet.table.SetPeerUse("f2", {{BackendName("d0"), {9, 37000, 0}}});
+  for (uint64_t it = 1; it <= 3; ++it) {
+    fleet.scheduler.Submit(Fleet::Job(it, kStart), kStart);
+  }
+  StreamJob kept = Fleet::Job(4, kStart);
+  // Its objective can't be met any more.
+  kept.first_event_due = kStart;
+  kept.prompt_kept_until = kStart + absl::Milliseconds(350);
+  REQUIRE_FALSE(fleet.scheduler.Submit(kept, kStart).has_value());
+  CHECK(fleet.Placements(kStart).empty());
+  fleet.table.SetPeerUse("f2", {{BackendName("d0"), {8, 33000, 0}}});
+  auto placed = fleet.Placements(kStart + absl::Milliseconds(100));
+  REQUIRE_FALSE(placed.empty());
+  CHECK(placed[0].id == ExchangeId(4));
+  CHECK_FALSE(placed[0].prefill.has_value());
+}
+
+// A decoding engine that reads a prompt holds up all that it generates.
+TEST_CASE("a prompt that has lapsed is read apart again", "[dispatch]") {
+  Fleet fleet(2, 1);
+  fleet.table.SetPeerUse("f2", {{BackendName("d0"), {9, 38000, 0}}});
+  StreamJob job = Fleet::Job(1, kStart);
+  job.prompt_kept_until = kStart + absl::Milliseconds(350);
+  REQUIRE_FALSE(fleet.scheduler.Submit(job, kStart).has_value());
+  absl::Time later = kStart + absl::Milliseconds(400);
+  CHECK(fleet.Placements(later).empty());
+  CHECK(fleet.scheduler.waiting() == 1);
+  fleet.table.SetPeerUse("f2", {});
+  auto placed = fleet.Placements(later);
+  REQUIRE(placed.size() == 1);
+  CHECK(placed[0].prefill.has_value());
+}
+
 }  // namespace
 }  // namespace chervilwick
