A planned stop serves what has arrived and was not read yet

A stopping front closes idle connections while the kernel may hold a request on one of them, and connections that the kernel has completed are reset with the listener. Change: a connection with unread bytes isn't idle; before the listener closes it takes in what is waiting. Test: both paths in one case of net_test, red without the change.

--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -76,7 +77,10 @@
   }
 
   ExchangeId exchange() const { return exchange_; }
-  bool IsIdle() const { return exchange_.value() == 0 && reader_.IsIdle(); }
+  // Without a request, also one whose bytes the kernel holds.
+  bool IsIdle() const {
+    return exchange_.value() == 0 && reader_.IsIdle() && !HasUnreadBytes();
+  }
 
   void Respond(const HttpResponse& response) {
     Write(EncodeResponse(response, KeepsOpen()));
@@ -116,6 +120,11 @@
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) Self(context).OnGone();
   }
 
+  bool HasUnreadBytes() const {
+    int n = 0;
+    return ioctl(bufferevent_getfd(buffers_), FIONREAD, &n) == 0 && n > 0;
+  }
+
   bool KeepsOpen() const { return keep_alive_ && !server_.closing_; }
 
   void Write(absl::string_view bytes) {
@@ -303,7 +312,20 @@
   return {status, {}, ""};
 }
 
-void EventHttpServer::StopListening() { listener_.reset(); }
+void EventHttpServer::StopListening() {
+  if (!listener_) return;
+  // What the kernel has taken in meanwhile would be reset.
+  int listening = evconnlistener_get_fd(listener_->handle);
+  while (true) {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    int socket = accept4(listening, reinterpret_cast<sockaddr*>(&address),
+                         &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) break;
+    Accept(socket, Endpoint::From(address));
+  }
+  listener_.reset();
+}
 
 void EventHttpServer::Accept(int socket, const Endpoint& client) {
   if (connections_.size() >= limits_.max_connections) {
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -276,5 +276,36 @@
   }
 }
 
+// A planned stop under load: a request that is on its way into the process when
+// the idle connections are closed.
+TEST_CASE("a stop serves what has arrived and was not read yet", "[net]") {
+  EventHttpServer* server = nullptr;
+  Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest& request) {
+                 server->Respond(id, {200, {}, request.head.target});
+               },
+               [](ExchangeId) {}});
+  server = &it.server;
+  std::string bytes = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  auto send = [&](int socket) {
+    REQUIRE(write(socket, bytes.data(), bytes.size()) ==
+            static_cast<ssize_t>(bytes.size()));
+  };
+  int kept = ConnectRaw(it.address);
+  it.loop.RunFor(kSoon);
+  // One on a connection that is open, one on a connection that the kernel has
+  // taken in and the server has not.
+  int waiting = ConnectRaw(it.address);
+  send(kept);
+  send(waiting);
+  server->CloseAfterAnswers();
+  server->StopListening();
+  server->CloseIdle();
+  it.loop.RunFor(kSoon);
+  for (int socket : {kept, waiting}) {
+    CHECK(ReadAvailable(socket).find("200 OK") != std::string::npos);
+    close(socket);
+  }
+}
+
 }  // namespace
 }  // namespace chervilwick
