Whole digests of a front every 1.2 s, signs of life between

Change: updates carry what changes, and a sign of life every 0.4 s where nothing does; whole digests come every 1.2 s, and at once when crash suspects or changing stages change, or when a peer has just been found. Ruled out: leaving the list of peers out (a fifth of a digest, and hearsay needs it). Tests: front's peers_test.cc and discovery_test.cc as they were; ctest's front 48 of 48.

--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -92,8 +92,9 @@
   void OnUpdate(const PeerUseUpdate& update, const Endpoint& from);
   void Tick();
   void SendDigest(PeerDigest digest, absl::Time now);
-  // Sends what has changed, if anything has.
-  void SendUpdate(const PeerDigest& now);
+  bool IsDigestDue(const PeerDigest& digest, absl::Time now) const;
+  // Sends what has changed, or a sign of life if nothing has for a while.
+  void SendUpdate(const PeerDigest& state, absl::Time now);
   void Send(const std::string& bytes, const std::set<Endpoint>& targets);
   void ExpireSilent(absl::Time now);
   void UpdateShares();
@@ -116,8 +117,11 @@
   using NoticeKey = std::tuple<BackendName, int64_t, BackendNotice::Kind>;
   std::set<NoticeKey> told_;
   size_t last_sent_changing_ = 0;
+  size_t last_sent_crashes_ = 0;
   uint64_t last_sent_waiting_ = 0;
-  absl::Time last_sent_ = absl::InfinitePast();
+  absl::Time last_sent_ = absl::InfinitePast();  // of any kind
+  absl::Time last_digest_ = absl::InfinitePast();
+  bool wants_digest_ = false;  // a peer has just been found
   uint64_t incarnation_;
   uint64_t sequence_ = 0;
 };
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -22,8 +22,13 @@
 constexpr uint32_t kUpdateMagic = 0x63776b34;
 // Changes of use are told at most that late.
 constexpr absl::Duration kTick = absl::Milliseconds(50);
-// A whole digest is sent that often.
+// Something is sent at least that often, so that peers know that this front
+// lives.
 constexpr absl::Duration kHeartbeat = absl::Milliseconds(400);
+// A whole digest is sent that often: it finds new peers, and makes good updates
+// that were lost and not repeated since. Half the time within which a request
+// that crashes servers must be known everywhere, so that one may be lost.
+constexpr absl::Duration kDigestInterval = absl::Milliseconds(1200);
 // A peer that was silent for so long has stopped or is cut off.
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(1600);
 // How long a larger number of fronts is remembered for budgets.
@@ -321,6 +326,7 @@
     }
   }
   if (is_new || restarted) {
+    wants_digest_ = true;  // the peer knows nothing of this front
     context_.log.Write(peer.heard, "peer_found",
                        {{"peer", digest.sender}, {"address", from.ToString()}});
   }
@@ -389,19 +395,32 @@
   absl::Time now = context_.loop.Now();
   ExpireSilent(now);
   PeerDigest digest = listener_.make_digest();
-  if (now - last_sent_ >= kHeartbeat ||
-      digest.changing.size() != last_sent_changing_) {
+  if (IsDigestDue(digest, now)) {
     SendDigest(std::move(digest), now);
     context_.quota.SetFronts(FrontsAssumed());
   } else {
-    SendUpdate(digest);
+    SendUpdate(digest, now);
   }
 }
 
-void PeerLink::AnnounceUse() { SendUpdate(listener_.make_digest()); }
+bool PeerLink::IsDigestDue(const PeerDigest& digest, absl::Time now) const {
+  // Only digests carry these.
+  if (digest.changing.size() != last_sent_changing_) return true;
+  if (digest.crashes.size() != last_sent_crashes_) return true;
+  absl::Duration since = now - last_digest_;
+  bool is_sought = wants_digest_ || alive_.empty();
+  return since >= kDigestInterval || (is_sought && since >= kHeartbeat);
+}
+
+void PeerLink::AnnounceUse() {
+  SendUpdate(listener_.make_digest(), context_.loop.Now());
+}
 
 void PeerLink::SendDigest(PeerDigest digest, absl::Time now) {
+  last_digest_ = now;
   last_sent_ = now;
+  wants_digest_ = false;
+  last_sent_crashes_ = digest.crashes.size();
   last_sent_use_ = digest.use;
   last_sent_waiting_ = digest.waiting_streams;
   last_sent_changing_ = digest.changing.size();
@@ -417,27 +436,27 @@
   Send(EncodeDigest(digest), targets);
 }
 
-void PeerLink::SendUpdate(const PeerDigest& now) {
+void PeerLink::SendUpdate(const PeerDigest& state, absl::Time now) {
   PeerUseUpdate update;
-  for (const auto& it : now.use) {
+  for (const auto& it : state.use) {
     auto before = last_sent_use_.find(it.first);
     bool is_same =
         before != last_sent_use_.end() && before->second == it.second;
     if (!is_same) update.use[it.first] = it.second;
   }
   for (const auto& it : last_sent_use_) {
-    if (now.use.count(it.first) == 0) update.use[it.first] = BackendUse();
+    if (state.use.count(it.first) == 0) update.use[it.first] = BackendUse();
   }
-  update.notices = TakeUntold(now.notices);
-  if (update.use.empty() && update.notices.empty() &&
-      now.waiting_streams == last_sent_waiting_) {
-    return;
-  }
-  last_sent_use_ = now.use;
-  last_sent_waiting_ = now.waiting_streams;
+  update.notices = TakeUntold(state.notices);
+  bool is_news = !update.use.empty() || !update.notices.empty() ||
+                 state.waiting_streams != last_sent_waiting_;
+  if (!is_news && now - last_sent_ < kHeartbeat) return;
+  last_sent_ = now;
+  last_sent_use_ = state.use;
+  last_sent_waiting_ = state.waiting_streams;
   update.incarnation = incarnation_;
   update.sequence = ++sequence_;
-  update.waiting_streams = now.waiting_streams;
+  update.waiting_streams = state.waiting_streams;
   std::set<Endpoint> targets;
   for (const auto& it : alive_) targets.insert(it.first);
   Send(EncodeUpdate(update), targets);
