Word of unknown servers takes bounded memory

Cause: found by reading the change again: a peer's word of a server that isn't known was remembered without bound for ten minutes, and datagrams aren't authenticated.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -177,7 +177,7 @@
   void AddPeers(const std::map<BackendName, BackendUse>& use, bool add);
   bool SetAside(BackendState& backend, absl::Duration time, absl::Time now);
   // The announcement of that start, or a new one; null if a later start has
-  // announced something.
+  // announced something, or if too many are kept for one of an unknown server.
   Announcement* Announced(const BackendName& id, int64_t born, absl::Time now);
   // Applies what this start of a server has announced.
   void ApplyAnnounced(BackendState& backend) const;
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -115,6 +115,10 @@
                                                     int64_t born,
                                                     absl::Time now) {
   if (announced_.size() >= kMaxAnnouncements) PruneAnnounced(now);
+  bool is_full = announced_.size() >= kMaxAnnouncements;
+  bool is_hearsay_of_unknown =
+      announced_.count(id) == 0 && backends_.count(id) == 0;
+  if (is_full && is_hearsay_of_unknown) return nullptr;
   auto [it, is_new] = announced_.try_emplace(id);
   Announcement& announcement = it->second;
   if (!is_new && announcement.born_unix_ms > born) return nullptr;
--- a/unittests/dispatch/announcement_test.cc
+++ b/unittests/dispatch/announcement_test.cc
@@ -100,6 +100,20 @@
   CHECK(Chosen(table).empty());
 }
 
+TEST_CASE("word of unknown servers takes bounded memory",
+          "[dispatch][leaving]") {
+  BackendTable table;
+  table.Upsert(Record("s1"));
+  for (int it = 0; it < 5000; ++it) {
+    table.TakeNotice(Leaving(BackendName("x" + std::to_string(it)), 1), kStart);
+  }
+  // The last of them is not remembered, what is known still is.
+  table.Upsert(Record("x4999"));
+  CHECK(Chosen(table) == "s1");
+  table.TakeNotice(Leaving(kLeaver, 1), kStart);
+  CHECK(Chosen(table) == "x4999");
+}
+
 TEST_CASE("a server that asked for quiet gets nothing until its end",
           "[dispatch][quiet]") {
   BackendTable table;
