--- a/unittests/front/endless_test.cc
+++ b/unittests/front/endless_test.cc
@@ -153,8 +153,9 @@
   nlohmann::json config = DeploymentConfig(1);
   for (auto& route : config["routes"]) route["timeout_ms"] = 20000;
   it.store.Put("op/config", config.dump());
-  for (const char* id : {"d1", "d2"})
+  for (const char* id : {"d1", "d2"}) {
     it.engines.at(id)->SetEventTime(absl::Milliseconds(1200));
+  }
   it.Start();
   auto answer = it.Ask("POST", "/note/x", "", /*deadline_ms=*/20000);
   it.loop.RunFor(absl::Milliseconds(11000));
