--- a/unittests/net/endless_test.cc
+++ b/unittests/net/endless_test.cc
@@ -39,8 +39,9 @@
     size_t before = ResidentBytes();
     client.Start(peer.endpoint(), GetIt(), options,
                  [&](const CallEvent& event) {
-                   if (auto* it = std::get_if<CallFailure>(&event))
+                   if (auto* it = std::get_if<CallFailure>(&event)) {
                      failure = *it;
+                   }
                  });
     absl::Time end = loop.Now() + kMaxTime;
     while (!failure && loop.Now() < end) loop.RunFor(absl::Milliseconds(5));
