Log lost runs with the request's fingerprint and the sign of the loss

What callers saw can't be traced to a cause with the logs as they were: no line said that a server's end was counted, under which fingerprint, nor that one was not. Two tests of what the log tells hold the new line as well.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -31,6 +31,8 @@
   void Clear(Fingerprint fingerprint);
   void Merge(const CrashCount& count, absl::Time now);
   bool IsQuarantined(Fingerprint fingerprint) const;
+  // As far as this front knows.
+  uint32_t Breaks(Fingerprint fingerprint) const;
   // The ones with two breaks or more, for the other fronts.
   std::vector<CrashCount> Notable() const;
   void Prune(absl::Time now);
--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -34,6 +34,8 @@
   std::map<std::pair<std::string, std::string>, uint64_t> refusals;
   // What went wrong at backend servers, by server and event of the log.
   std::map<std::pair<std::string, std::string>, uint64_t> backend_trouble;
+  // Runs that ended without the server's whole answer, by sign.
+  std::map<std::string, uint64_t> lost_runs;
   std::map<std::string, LatencyCounts> answer_time;  // by route
   std::map<std::string, LatencyCounts> first_event;  // by route
   std::map<std::string, LatencyCounts> queue_time;   // by route
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -25,6 +25,9 @@
   absl::Time arrived;
 };
 
+// As in the lines of the log.
+std::string FingerprintText(Fingerprint fingerprint);
+
 // Why a request ends without an engine's answer.
 struct Ending {
   int status = 503;
@@ -69,6 +72,10 @@
   // Logs and counts what went wrong at a backend server.
   void LogTrouble(absl::string_view event, absl::string_view backend,
                   absl::string_view detail);
+  // Logs and counts a run that ended without the server's whole answer, and by
+  // which sign. Over all fronts' logs its fingerprint tells whether the request
+  // may be the cause.
+  void LogLostRun(absl::string_view backend, absl::string_view sign);
   // Takes one repeated send out of the fleet's budget.
   bool TakeRepeat();
   bool is_finished() const { return is_finished_; }
--- a/include/chervilwick/net/http_client.h
+++ b/include/chervilwick/net/http_client.h
@@ -32,6 +32,9 @@
   kTimeout,    // no whole answer within the call's time
 };
 
+// Name of an error in logs and metrics.
+absl::string_view CallErrorText(CallError error);
+
 struct CallFailure {
   CallError error = CallError::kConnect;
   // Whether bytes of the request may have reached the server.
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -36,8 +36,12 @@
 }
 
 bool CrashSuspects::IsQuarantined(Fingerprint fingerprint) const {
+  return Breaks(fingerprint) >= kQuarantineBreaks;
+}
+
+uint32_t CrashSuspects::Breaks(Fingerprint fingerprint) const {
   auto it = entries_.find(fingerprint);
-  return it != entries_.end() && it->second.breaks >= kQuarantineBreaks;
+  return it == entries_.end() ? 0 : it->second.breaks;
 }
 
 std::vector<CrashCount> CrashSuspects::Notable() const {
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -107,6 +107,11 @@
     list.Count("front_store_calls_total", "Calls to the store, by status.",
                static_cast<double>(it.second), {{"status", it.first}});
   }
+  for (const auto& it : stats.lost_runs) {
+    list.Count("front_lost_runs_total",
+               "Runs that ended without the server's whole answer, by sign.",
+               static_cast<double>(it.second), {{"sign", it.first}});
+  }
   auto count = [&list](const char* name, const char* help, uint64_t n) {
     list.Count(name, help, static_cast<double>(n));
   };
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -151,6 +151,7 @@
   if (failure.error == CallError::kClosed) {
     context().suspects.ReportBreak(admitted().fingerprint, Now());
   }
+  LogLostRun(attempt.backend.value(), CallErrorText(failure.error));
   LogTrouble("broke_off", attempt.backend.value(),
              failure.error == CallError::kMalformed ? "malformed answer"
                                                     : "connection closed");
@@ -259,6 +260,9 @@
   // A run that can't be repeated goes on: cutting it would leave its outcome
   // unknown to the service.
   if (!admitted().route.MayRepeat() && !attempts_.empty()) return;
+  for (const auto& it : attempts_) {
+    LogLostRun(it.second.backend.value(), "client_gone");
+  }
   CancelAll();
   Finish("client_gone", 0, "");
 }
@@ -274,6 +278,7 @@
   for (const auto& it : attempts_) {
     all_unsent = all_unsent && context().client.IsUnsent(it.second.call);
     context().backends.ReportFailure(it.second.backend, Now());
+    LogLostRun(it.second.backend.value(), "timeout");
   }
   CancelAll();
   End({all_unsent ? 503 : 504, "timeout"});
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -18,6 +18,10 @@
 
 }  // namespace
 
+std::string FingerprintText(Fingerprint fingerprint) {
+  return absl::StrCat(absl::Hex(fingerprint.value(), absl::kZeroPad16));
+}
+
 Relay::Relay(FrontContext& context, AdmittedRequest admitted, Finished finished)
     : context_(context),
       admitted_(std::move(admitted)),
@@ -94,6 +98,7 @@
                       {"outcome", outcome},
                       {"status", status},
                       {"reason", reason},
+                      {"fingerprint", FingerprintText(admitted_.fingerprint)},
                       {"took_ms", Elapsed()},
                       {"left_ms", Remaining()}});
   finished_(admitted_.id);
@@ -115,6 +120,17 @@
   Log(event, backend, detail);
 }
 
+void Relay::LogLostRun(absl::string_view backend, absl::string_view sign) {
+  ++context_.stats.lost_runs[absl::StrCat(sign)];
+  context_.log.Write(
+      Now(), "run_lost",
+      {{"id", admitted_.facts.request_id},
+       {"fingerprint", FingerprintText(admitted_.fingerprint)},
+       {"backend", backend},
+       {"sign", sign},
+       {"breaks", context_.suspects.Breaks(admitted_.fingerprint)}});
+}
+
 bool Relay::TakeRepeat() {
   if (context_.quota.TryTake(admitted_.service, Now())) {
     ++context_.stats.repeated_sends;
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -152,6 +152,10 @@
           [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
           [&](HttpEnd&) { OnPromptEnd(); },
           [&](CallFailure& failure) {
+            if (failure.sent) {
+              LogLostRun(lifecycle_.placement().prefill->value(),
+                         absl::StrCat("prompt_", CallErrorText(failure.error)));
+            }
             OnPromptFailed("connection failed",
                            failure.sent ? PromptFailure::kBroken
                                         : PromptFailure::kUnreachable);
@@ -285,6 +289,10 @@
 
 void StreamRelay::OnDecodeBroken(const CallFailure& failure) {
   EndCall();
+  if (failure.sent) {
+    LogLostRun(lifecycle_.placement().decode.value(),
+               CallErrorText(failure.error));
+  }
   LogTrouble("decode_broke_off", lifecycle_.placement().decode.value(),
              failure.sent ? "connection closed" : "not sent");
   bool is_closed = failure.error == CallError::kClosed;
@@ -296,6 +304,7 @@
 
 void StreamRelay::OnSilence() {
   if (lifecycle_.phase() == Phase::kPrompt) {
+    LogLostRun(lifecycle_.placement().prefill->value(), "prompt_silent");
     CancelCall();
     OnPromptFailed("no answer in time", PromptFailure::kBroken);
     return;
@@ -310,6 +319,7 @@
       }
       return;
     case StreamLifecycle::SilenceVerdict::kEnd:
+      LogLostRun(lifecycle_.placement().decode.value(), "stalled");
       CancelCall();
       Cut("engine_stalled");
       return;
@@ -318,7 +328,7 @@
       return;
     case StreamLifecycle::SilenceVerdict::kResume:
       CancelCall();
-      OnDecodeBroken({CallError::kConnect, true});
+      OnDecodeBroken({CallError::kTimeout, true});
       return;
   }
 }
@@ -349,7 +359,15 @@
   handle_.reset();
 }
 
+void StreamRelay::LogOpenRun(absl::string_view sign) {
+  if (call_.value() == 0) return;
+  bool is_prompt = lifecycle_.phase() == Phase::kPrompt;
+  const StreamPlacement& placement = lifecycle_.placement();
+  LogLostRun((is_prompt ? *placement.prefill : placement.decode).value(), sign);
+}
+
 void StreamRelay::OnClientGone() {
+  LogOpenRun("client_gone");
   context().scheduler.Withdraw(admitted().id);
   CancelCall();
   FreeHandle();
@@ -358,6 +376,7 @@
 }
 
 void StreamRelay::OnTimeout() {
+  LogOpenRun("timeout");
   context().scheduler.Withdraw(admitted().id);
   bool unsent = call_.value() != 0 && context().client.IsUnsent(call_);
   CancelCall();
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -49,6 +49,20 @@
 
 }  // namespace
 
+absl::string_view CallErrorText(CallError error) {
+  switch (error) {
+    case CallError::kConnect:
+      return "not_connected";
+    case CallError::kClosed:
+      return "closed";
+    case CallError::kMalformed:
+      return "malformed";
+    case CallError::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
 class HttpClient::Connection {
  public:
   Connection(HttpClient& client, const Endpoint& server,
--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -55,6 +55,9 @@
   if (line.event == "request_rejected") {
     return absl::StrCat("request_rejected ", line.Text("reason"));
   }
+  if (line.event == "run_lost") {
+    return absl::StrCat("run_lost ", line.Text("sign"));
+  }
   if (line.event == "backend") {
     return absl::StrCat("backend ", line.Text("change"));
   }
--- a/unittests/front/reports_test.cc
+++ b/unittests/front/reports_test.cc
@@ -32,7 +32,7 @@
   it.SetFaults({"d1", "d2"}, Fault::kBreakMidway);
   it.Get("POST", "/note/x");
   RequestStory story = it.Story("id1");
-  CHECK(EventsOf(story) == "placed streaming decode_broke_off request_done ");
+  CHECK(EventsOf(story) == "placed streaming run_lost decode_broke_off request_done ");
   CHECK(story.outcome == "cut");
   CHECK(story.reason == "backend_broke_off");
 }
@@ -44,7 +44,7 @@
   it.SetFaults({"s1", "s2"}, Fault::kLoseAnswer);
   it.Get("POST", "/book/x");
   RequestStory story = it.Story("id1");
-  CHECK(EventsOf(story) == "sent broke_off request_done ");
+  CHECK(EventsOf(story) == "sent run_lost broke_off request_done ");
   CHECK(story.outcome == "failed");
   CHECK(story.reason == "backend_broke_off");
 }
