--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -232,7 +232,7 @@
                 {"state", state},
                 {"cold_left_ms", 0},
                 {"seq", 1},
-                {"born", 1700000000000}};
+                {"born", 1700000000000 + crashes_}};
   if (!options_.stage.empty()) entry["stage"] = options_.stage;
   return entry.dump();
 }
@@ -274,7 +274,41 @@
   timers_.back()->Arm(delay);
 }
 
+void PlatformEngine::CrashAt(std::string target, CrashSign sign,
+                             absl::Duration down,
+                             std::function<void()> on_back) {
+  crash_target_ = std::move(target);
+  crash_sign_ = sign;
+  crash_down_ = down;
+  on_back_ = std::move(on_back);
+}
+
+void PlatformEngine::Crash() {
+  ++crashes_;
+  is_down_ = true;
+  auto cut_all = [this] {
+    for (ExchangeId it : open_) {
+      server_.Abort(it);
+      EndStream(it);
+    }
+    open_.clear();
+    server_.CloseIdle();
+  };
+  if (crash_sign_ == CrashSign::kClosed) {
+    server_.StopListening();
+    After(absl::ZeroDuration(), cut_all);
+  }
+  After(crash_down_, [this, cut_all] {
+    cut_all();
+    if (crash_sign_ == CrashSign::kClosed) server_.Listen(endpoint_);
+    is_down_ = false;
+    on_back_();
+  });
+}
+
 void PlatformEngine::OnRequest(ExchangeId id, HttpRequest request) {
+  open_.insert(id);
+  if (is_down_) return;
   if (request.head.target == "/chervilwick/order") {
     orders.push_back(Json::parse(request.body, nullptr, false));
     server_.Respond(id, {202, {}, ""});
@@ -288,6 +322,10 @@
     Refuse(id, request, 421);
     return;
   }
+  if (!crash_target_.empty() && request.head.target == crash_target_) {
+    Crash();
+    return;
+  }
   Fault fault = TakeFault();
   if (fault == Fault::kRefuse) {
     Refuse(id, request, 503);
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -111,11 +112,22 @@
     kNoStamp,        // a success that proves nothing
   };
 
+  // How a request that ends its engines does so.
+  enum class CrashSign {
+    kClosed,  // connections are reset, new ones refused
+    kDark,    // nothing is heard any more
+  };
+
   PlatformEngine(EventLoop& loop, Options options);
 
   std::string Entry(const std::string& state = "ready") const;
   std::string Key() const { return "servers/" + options_.id; }
   void SetFault(Fault fault, int count = 1000000);
+  // From now on a request for that target ends the engine as it begins to run.
+  // It is back `down` later as another start of the same id.
+  void CrashAt(std::string target, CrashSign sign, absl::Duration down,
+               std::function<void()> on_back);
+  int crashes() const { return crashes_; }
   // Says in every answer that it is leaving.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
   // Added to refusals; empty for none.
@@ -147,9 +159,17 @@
   void After(absl::Duration delay, std::function<void()> action);
   std::vector<HttpField> Fields(const HttpRequest& request, bool stamp) const;
   Fault TakeFault();
+  void Crash();
 
   EventLoop& loop_;
   Options options_;
+  std::string crash_target_;
+  CrashSign crash_sign_ = CrashSign::kClosed;
+  absl::Duration crash_down_;
+  std::function<void()> on_back_;
+  int crashes_ = 0;
+  bool is_down_ = false;
+  std::set<ExchangeId> open_;  // and those answered, until a crash
   Endpoint endpoint_;
   EventHttpServer server_;
   Fault fault_ = Fault::kNone;
--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -75,11 +75,12 @@
   loop.RunFor(absl::Milliseconds(150));
 }
 
-FrontSettings TestDeployment::PeerSettings(const std::string& name) const {
+FrontSettings TestDeployment::PeerSettings(const std::string& name,
+                                           int number) const {
   // Ports are the same on all hosts, so it needs an address of its own.
-  auto move = [](const std::string& address) {
+  auto move = [number](const std::string& address) {
     Endpoint endpoint = *Endpoint::Parse(address);
-    ++endpoint.ip;
+    endpoint.ip += static_cast<uint32_t>(number);
     return endpoint.ToString();
   };
   FrontSettings peer = settings;
@@ -106,7 +107,8 @@
 std::shared_ptr<Answer> TestDeployment::Ask(const std::string& method,
                                             const std::string& target,
                                             const std::string& address,
-                                            int deadline_ms) {
+                                            int deadline_ms,
+                                            const std::string& body) {
   HttpRequest request;
   request.head.method = method;
   request.head.target = target;
@@ -114,7 +116,9 @@
                          {"X-Request-Id", absl::StrCat("id", ++last_id)},
                          {"X-Deadline-Ms", absl::StrCat(deadline_ms)},
                          {"X-Token-Count", "3200,900"}};
-  if (method == "POST") request.body = absl::StrCat("body ", last_id);
+  if (method == "POST") {
+    request.body = body.empty() ? absl::StrCat("body ", last_id) : body;
+  }
   auto answer = std::make_shared<Answer>();
   last_call = client.Start(
       *Endpoint::Parse(address.empty() ? settings.clients : address), request,
--- a/unittests/front/deployment.h
+++ b/unittests/front/deployment.h
@@ -38,19 +38,21 @@
   TestDeployment();
 
   void Start();
-  // Settings of a further front, by its name, that finds this one.
-  FrontSettings PeerSettings(const std::string& name) const;
+  // Settings of a further front, by its name and number, that finds this one.
+  FrontSettings PeerSettings(const std::string& name, int number = 1) const;
   void Add(const std::string& id, const std::string& service,
            const std::string& stage);
   void RemoveServer(const std::string& id);
   void SetFaults(const std::vector<std::string>& ids, Fault fault,
                  int count = 1000000);
 
-  // Sends a request; the answer fills while the loop runs.
+  // Sends a request; the answer fills while the loop runs. Without a body given
+  // each POST has one of its own.
   std::shared_ptr<Answer> Ask(const std::string& method,
                               const std::string& target,
                               const std::string& address = "",
-                              int deadline_ms = 2000);
+                              int deadline_ms = 2000,
+                              const std::string& body = "");
   // Asks and waits for the end of the answer.
   Answer Get(const std::string& method, const std::string& target,
              const std::string& address = "");
