Count runs that fell silent under a server that then ended, and prompts

Callers saw: a request under which servers go dark was sent on without end, and so was one that ends the engine that reads its prompt.

Cause: only a connection closed under a call or a decode counted. A server that goes dark closes nothing: its calls end by the route's timeout, by silence, or as the client leaves; the connection's own death comes too late to be heard. Closed prompts were taken for any failure. Ruled out: counting each silent run.

Change: a silent run is remembered with its server and counts once that server is found to have ended (gone without notice, started anew, or unreachable, here or by a peer's word), if it ran before that end and was lost at most 6 s before it was known. Prompts count as runs do. A line break_counted says when and under which server.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
@@ -36,6 +37,16 @@
   bool empty() const { return broken.empty() && exonerations.empty(); }
 };
 
+// A run that ended here without its server's whole answer.
+struct LostRun {
+  Fingerprint fingerprint;
+  BackendName backend;
+  absl::Time sent;
+  // The server closed the connection under it. Otherwise nothing more was
+  // heard, or waited for.
+  bool is_closed = false;
+};
+
 // Counts, by what makes two requests the same work, the runs that ended with
 // the server breaking off. The client sends such a request again, at any front,
 // so that each front may see one end alone: a front keeps the set of all
@@ -49,7 +60,18 @@
   // `front`: drawn anew at each start of the process.
   explicit CrashSuspects(Incarnation front) : front_(front) {}
 
-  void ReportBreak(Fingerprint fingerprint, absl::Time now);
+  // Called with each break that this front adds.
+  using CountedHandler =
+      std::function<void(Fingerprint, const BackendName&, absl::Time)>;
+  void SetCountedHandler(CountedHandler handler) {
+    on_counted_ = std::move(handler);
+  }
+
+  // A closed connection counts at once. Silence is a break if the server is
+  // found to have ended, before or after.
+  void ReportLost(const LostRun& run, absl::Time now);
+  // The server is gone without notice, has started anew or can't be reached.
+  void ReportServerEnd(const BackendName& backend, absl::Time now);
   // It ran to its end.
   void ReportWhole(Fingerprint fingerprint, absl::Time now);
   // Merges what another front tells. Returns the fingerprints of which one more
@@ -82,6 +104,13 @@
   using Filter = absl::FunctionRef<bool(const Entry&, const AttemptId& run,
                                         absl::Time at)>;
 
+  struct SilentRun {
+    Fingerprint fingerprint;
+    absl::Time lost;
+  };
+
+  void Count(Fingerprint fingerprint, const BackendName& backend,
+             absl::Time now);
   // The entry of a fingerprint, made if there is none.
   Entry& EntryOf(Fingerprint fingerprint, absl::Time now);
   // Forgets those that tell least: of few breaks, and old.
@@ -91,7 +120,11 @@
 
   Incarnation front_;
   uint64_t sequence_ = 0;
+  CountedHandler on_counted_;
   EntryMap entries_;
+  // Whose servers aren't known to have ended.
+  std::multimap<BackendName, SilentRun> silent_runs_;
+  std::map<BackendName, absl::Time> server_ends_;
   std::vector<std::pair<Fingerprint, AttemptId>> untold_breaks_;
   std::vector<Fingerprint> untold_exonerations_;
 };
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -78,7 +78,8 @@
 enum class PromptFailure {
   kRefused,      // the engine said that it did not
   kUnreachable,  // the call did not arrive
-  kBroken,       // the engine broke off, answered badly or too late
+  kClosed,       // the engine closed the connection, as one that crashes does
+  kBroken,       // it answered badly or too late
 };
 
 // Why a stream was not generated to its end.
@@ -142,6 +143,9 @@
   void OnDecodeNotRun(bool is_wrong_server, absl::Time now);
   void OnDecodeBroken(DecodeFailure why, absl::Time now);
   SilenceVerdict OnDecodeSilent(absl::Time now);
+  // The call that is under way is given up: the client has left, or its time
+  // is over.
+  void OnAbandoned(absl::Time now);
   // Until a stream without a new event has stalled for good.
   absl::Duration StallLeft(absl::Time now) const;
 
@@ -163,6 +167,9 @@
   bool PayForSend();
   // Ends it by what the client has of it and may have run.
   void End(absl::string_view reason, absl::Duration retry_after);
+  // The run at the engine has no whole answer.
+  void ReportLost(const BackendName& engine, bool is_closed, absl::Time now);
+  void ReportUnreachable(const BackendName& engine, absl::Time now);
   bool HasFreshHandle(absl::Time now) const;
   bool MayResume() const;
   void DropHandle();
--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -31,6 +31,7 @@
   struct Attempt {
     CallId call;
     BackendName backend;
+    absl::Time sent;
     HttpHead head;
     std::string body;
   };
@@ -47,6 +48,10 @@
   enum class Cost { kNone, kRepeat };
   // A run gave nothing: repeats it where the route allows that.
   void RepeatOrFail(absl::string_view reason);
+  // The attempt has no whole answer.
+  void ReportLost(const Attempt& attempt, absl::string_view sign,
+                  bool is_closed);
+  void ReportUnreachable(const BackendName& backend);
   // Sends again, whatever the route: only for what has not run or may run
   // again. Ends the request if there is no send or no time left.
   void SendAgainOrEnd(Cost cost, const Ending& otherwise);
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -55,7 +55,7 @@
   void OnDecodeBroken(const CallFailure& failure);
   void OnSilence();
   // The call that is under way, if any, will not be heard to its end.
-  void LogOpenRun(absl::string_view sign);
+  void AbandonCall(absl::string_view sign);
   // Forgets the call that has ended.
   void EndCall();
   void CancelCall();
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -17,6 +17,9 @@
 constexpr absl::Duration kRepeatTime = absl::Seconds(5);
 // Breaks from which on every front repeats what any of them saw.
 constexpr size_t kNotableBreaks = 2;
+// A server's end is known that much later: its entry lapses after three missed
+// reports, and the store tells changes with a delay.
+constexpr absl::Duration kEndNotice = absl::Seconds(6);
 // Of one datagram.
 constexpr size_t kMaxToldRuns = 256;
 constexpr size_t kMaxToldExonerations = 64;
@@ -56,10 +59,33 @@
   for (auto it = order.begin(); it != middle; ++it) entries_.erase(*it);
 }
 
-void CrashSuspects::ReportBreak(Fingerprint fingerprint, absl::Time now) {
+void CrashSuspects::Count(Fingerprint fingerprint, const BackendName& backend,
+                          absl::Time now) {
   AttemptId run{front_, ++sequence_};
   EntryOf(fingerprint, now).breaks[run] = now;
   untold_breaks_.emplace_back(fingerprint, run);
+  if (on_counted_) on_counted_(fingerprint, backend, now);
+}
+
+void CrashSuspects::ReportLost(const LostRun& run, absl::Time now) {
+  auto end = server_ends_.find(run.backend);
+  bool has_ended = end != server_ends_.end() && run.sent <= end->second;
+  if (run.is_closed || has_ended) {
+    Count(run.fingerprint, run.backend, now);
+  } else if (silent_runs_.size() < kMaxEntries) {
+    silent_runs_.emplace(run.backend, SilentRun{run.fingerprint, now});
+  }
+}
+
+void CrashSuspects::ReportServerEnd(const BackendName& backend,
+                                    absl::Time now) {
+  server_ends_[backend] = now;
+  auto [begin, end] = silent_runs_.equal_range(backend);
+  for (auto it = begin; it != end; ++it) {
+    if (now - it->second.lost > kEndNotice) continue;
+    Count(it->second.fingerprint, backend, now);
+  }
+  silent_runs_.erase(begin, end);
 }
 
 void CrashSuspects::ReportWhole(Fingerprint fingerprint, absl::Time now) {
@@ -166,6 +192,14 @@
     bool is_over = now - it->second.LastChange() > kRetention;
     it = is_over ? entries_.erase(it) : std::next(it);
   }
+  for (auto it = silent_runs_.begin(); it != silent_runs_.end();) {
+    bool is_over = now - it->second.lost > kEndNotice;
+    it = is_over ? silent_runs_.erase(it) : std::next(it);
+  }
+  for (auto it = server_ends_.begin(); it != server_ends_.end();) {
+    bool is_over = now - it->second > kRetention;
+    it = is_over ? server_ends_.erase(it) : std::next(it);
+  }
 }
 
 }  // namespace chervilwick
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -187,10 +187,12 @@
       break;
     case PromptFailure::kUnreachable:
       if (was_counted) --arrivals_;
-      services_.backends.ReportUnreachable(prefill, now);
+      ReportUnreachable(prefill, now);
       excluded_.insert(prefill);
       break;
+    case PromptFailure::kClosed:
     case PromptFailure::kBroken:
+      ReportLost(prefill, why == PromptFailure::kClosed, now);
       services_.backends.ReportFailure(prefill, now);
       excluded_.insert(prefill);
       break;
@@ -257,7 +259,7 @@
     reads_at_decode_ = true;
   }
   services_.backends.ReportFull(decode, now);
-  if (is_wrong_server) services_.backends.ReportUnreachable(decode, now);
+  if (is_wrong_server) ReportUnreachable(decode, now);
   Release();
   excluded_.insert(decode);
   if (decode_sends_ >= kMaxDecodeSends) {
@@ -278,12 +280,10 @@
   if (is_unreachable) {
     --runs_;
     --arrivals_;
-    services_.backends.ReportUnreachable(decode, now);
+    ReportUnreachable(decode, now);
   } else {
     services_.backends.ReportFailure(decode, now);
-  }
-  if (why == DecodeFailure::kClosed) {
-    services_.suspects.ReportBreak(terms_.fingerprint, now);
+    ReportLost(decode, why == DecodeFailure::kClosed, now);
   }
   Release();
   excluded_.insert(decode);
@@ -307,6 +307,25 @@
   return SilenceVerdict::kWait;
 }
 
+void StreamLifecycle::OnAbandoned(absl::Time now) {
+  if (phase_ == Phase::kWaiting) return;
+  const StreamPlacement& placement = *placement_;
+  ReportLost(phase_ == Phase::kPrompt ? *placement.prefill : placement.decode,
+             /*is_closed=*/false, now);
+}
+
+void StreamLifecycle::ReportLost(const BackendName& engine, bool is_closed,
+                                 absl::Time now) {
+  services_.suspects.ReportLost(
+      {terms_.fingerprint, engine, step_started_, is_closed}, now);
+}
+
+void StreamLifecycle::ReportUnreachable(const BackendName& engine,
+                                        absl::Time now) {
+  services_.backends.ReportUnreachable(engine, now);
+  services_.suspects.ReportServerEnd(engine, now);
+}
+
 absl::Duration StreamLifecycle::StallLeft(absl::Time now) const {
   return last_event_ + terms_.stall_limit - now;
 }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -130,6 +130,14 @@
               }),
       scheduler_wake_(loop_, [this] { RunScheduler(); }) {
   context_.server = &clients_;
+  context_.suspects.SetCountedHandler([this](Fingerprint fingerprint,
+                                             const BackendName& backend,
+                                             absl::Time now) {
+    context_.log.Write(now, "break_counted",
+                       {{"fingerprint", FingerprintText(fingerprint)},
+                        {"backend", backend.value()},
+                        {"breaks", context_.suspects.Breaks(fingerprint)}});
+  });
   context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
@@ -232,6 +240,7 @@
   if (change == BackendChange::kNone) return;
   if (change == BackendChange::kRestarted && old_endpoint) {
     context_.client.Forget(*old_endpoint);
+    context_.suspects.ReportServerEnd(record.id, loop_.Now());
   }
   context_.log.Write(
       loop_.Now(), "backend",
@@ -260,6 +269,8 @@
     return;
   }
   context_.client.Forget(known->record.endpoint);
+  // One that said that it leaves did not end under a request.
+  if (!known->IsLeaving()) context_.suspects.ReportServerEnd(id, loop_.Now());
   context_.backends.Remove(id);
   context_.stats.ForgetBackend(id.value());
 }
@@ -284,6 +295,9 @@
     // Fronts that were told together must not try the server again together.
     it.left *= absl::Uniform(random_, 1.0, kMaxNoticeStretch);
     if (!context_.backends.TakeNotice(it, loop_.Now())) continue;
+    if (it.kind == BackendNotice::Kind::kUnreachable) {
+      context_.suspects.ReportServerEnd(it.backend, loop_.Now());
+    }
     context_.log.Write(loop_.Now(), "backend",
                        {{"backend", it.backend.value()},
                         {"change", NoticeText(it.kind)},
@@ -301,6 +315,7 @@
     context_.log.Write(
         now, "backend",
         {{"backend", it.value()}, {"change", "gone after a store outage"}});
+    context_.suspects.ReportServerEnd(it, now);
     context_.stats.ForgetBackend(it.value());
   }
   peer_copy_.Tick();
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -84,6 +84,7 @@
   options.max_body_bytes = kMaxAnswerBytes;
   Attempt& attempt = attempts_[number];
   attempt.backend = backend->record.id;
+  attempt.sent = Now();
   tried_.insert(attempt.backend);
   backend->own += {1, 0, 0};
   attempt.call = context().client.Start(
@@ -141,23 +142,34 @@
   Attempt attempt = Take(number);
   broken_.insert(attempt.backend);
   if (!failure.sent) {
-    context().backends.ReportUnreachable(attempt.backend, Now());
+    ReportUnreachable(attempt.backend);
     --runs_;
     LogTrouble("not_sent", attempt.backend.value(), "connection failed");
     SendAgainOrEnd(Cost::kNone, {503, "backend_unreachable", kRetryAfterNone});
     return;
   }
   context().backends.ReportFailure(attempt.backend, Now());
-  if (failure.error == CallError::kClosed) {
-    context().suspects.ReportBreak(admitted().fingerprint, Now());
-  }
-  LogLostRun(attempt.backend.value(), CallErrorText(failure.error));
+  ReportLost(attempt, CallErrorText(failure.error),
+             failure.error == CallError::kClosed);
   LogTrouble("broke_off", attempt.backend.value(),
              failure.error == CallError::kMalformed ? "malformed answer"
                                                     : "connection closed");
   RepeatOrFail("backend_broke_off");
 }
 
+void PlainRelay::ReportLost(const Attempt& attempt, absl::string_view sign,
+                            bool is_closed) {
+  LogLostRun(attempt.backend.value(), sign);
+  context().suspects.ReportLost(
+      {admitted().fingerprint, attempt.backend, attempt.sent, is_closed},
+      Now());
+}
+
+void PlainRelay::ReportUnreachable(const BackendName& backend) {
+  context().backends.ReportUnreachable(backend, Now());
+  context().suspects.ReportServerEnd(backend, Now());
+}
+
 void PlainRelay::RepeatOrFail(absl::string_view reason) {
   if (MayRunAgain()) {
     SendAgainOrEnd(Cost::kRepeat, {502, reason});
@@ -220,7 +232,7 @@
 
 void PlainRelay::OnNotRun(const BackendName& backend, bool is_wrong_server) {
   if (is_wrong_server) {
-    context().backends.ReportUnreachable(backend, Now());
+    ReportUnreachable(backend);
   } else {
     context().backends.ReportFull(backend, Now());
   }
@@ -261,7 +273,7 @@
   // unknown to the service.
   if (!admitted().route.MayRepeat() && !attempts_.empty()) return;
   for (const auto& it : attempts_) {
-    LogLostRun(it.second.backend.value(), "client_gone");
+    ReportLost(it.second, "client_gone", /*is_closed=*/false);
   }
   CancelAll();
   Finish("client_gone", 0, "");
@@ -278,7 +290,7 @@
   for (const auto& it : attempts_) {
     all_unsent = all_unsent && context().client.IsUnsent(it.second.call);
     context().backends.ReportFailure(it.second.backend, Now());
-    LogLostRun(it.second.backend.value(), "timeout");
+    ReportLost(it.second, "timeout", /*is_closed=*/false);
   }
   CancelAll();
   End({all_unsent ? 503 : 504, "timeout"});
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -122,13 +122,11 @@
 
 void Relay::LogLostRun(absl::string_view backend, absl::string_view sign) {
   ++context_.stats.lost_runs[absl::StrCat(sign)];
-  context_.log.Write(
-      Now(), "run_lost",
-      {{"id", admitted_.facts.request_id},
-       {"fingerprint", FingerprintText(admitted_.fingerprint)},
-       {"backend", backend},
-       {"sign", sign},
-       {"breaks", context_.suspects.Breaks(admitted_.fingerprint)}});
+  context_.log.Write(Now(), "run_lost",
+                     {{"id", admitted_.facts.request_id},
+                      {"fingerprint", FingerprintText(admitted_.fingerprint)},
+                      {"backend", backend},
+                      {"sign", sign}});
 }
 
 bool Relay::TakeRepeat() {
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -156,9 +156,11 @@
               LogLostRun(lifecycle_.placement().prefill->value(),
                          absl::StrCat("prompt_", CallErrorText(failure.error)));
             }
+            bool is_closed = failure.error == CallError::kClosed;
             OnPromptFailed("connection failed",
-                           failure.sent ? PromptFailure::kBroken
-                                        : PromptFailure::kUnreachable);
+                           !failure.sent ? PromptFailure::kUnreachable
+                           : is_closed   ? PromptFailure::kClosed
+                                         : PromptFailure::kBroken);
           },
       },
       event);
@@ -319,7 +321,7 @@
       }
       return;
     case StreamLifecycle::SilenceVerdict::kEnd:
-      LogLostRun(lifecycle_.placement().decode.value(), "stalled");
+      AbandonCall("stalled");
       CancelCall();
       Cut("engine_stalled");
       return;
@@ -359,15 +361,16 @@
   handle_.reset();
 }
 
-void StreamRelay::LogOpenRun(absl::string_view sign) {
-  if (call_.value() == 0) return;
+void StreamRelay::AbandonCall(absl::string_view sign) {
+  if (call_.value() == 0 || context().client.IsUnsent(call_)) return;
   bool is_prompt = lifecycle_.phase() == Phase::kPrompt;
   const StreamPlacement& placement = lifecycle_.placement();
   LogLostRun((is_prompt ? *placement.prefill : placement.decode).value(), sign);
+  lifecycle_.OnAbandoned(Now());
 }
 
 void StreamRelay::OnClientGone() {
-  LogOpenRun("client_gone");
+  AbandonCall("client_gone");
   context().scheduler.Withdraw(admitted().id);
   CancelCall();
   FreeHandle();
@@ -376,7 +379,7 @@
 }
 
 void StreamRelay::OnTimeout() {
-  LogOpenRun("timeout");
+  AbandonCall("timeout");
   context().scheduler.Withdraw(admitted().id);
   bool unsent = call_.value() != 0 && context().client.IsUnsent(call_);
   CancelCall();
--- a/unittests/dispatch/crash_suspects_test.cc
+++ b/unittests/dispatch/crash_suspects_test.cc
@@ -14,6 +14,7 @@
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 const Fingerprint kPoison(77);
+const BackendName kServer("s1");
 
 std::vector<CrashSuspects> Fronts(uint64_t n) {
   std::vector<CrashSuspects> fronts;
@@ -21,6 +22,11 @@
   return fronts;
 }
 
+// The connection is closed under a run.
+void Break(CrashSuspects& front, Fingerprint fingerprint, absl::Time now) {
+  front.ReportLost({fingerprint, kServer, now, /*is_closed=*/true}, now);
+}
+
 TEST_CASE("a request at three breaks is not run again, at any front",
           "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(2);
@@ -28,7 +34,7 @@
   CrashSuspects& there = fronts[1];
   for (uint32_t it = 0; it < CrashSuspects::kQuarantineBreaks; ++it) {
     CHECK_FALSE(here.IsQuarantined(kPoison));
-    here.ReportBreak(kPoison, kStart);
+    Break(here, kPoison, kStart);
   }
   CHECK(here.IsQuarantined(kPoison));
   there.Take(here.Recent(kStart), kStart);
@@ -42,7 +48,7 @@
 TEST_CASE("breaks that several fronts saw one each are added up",
           "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(3);
-  for (CrashSuspects& it : fronts) it.ReportBreak(kPoison, kStart);
+  for (CrashSuspects& it : fronts) Break(it, kPoison, kStart);
   for (CrashSuspects& it : fronts) {
     CrashNews news = it.TakeUntold(kStart);
     REQUIRE(news.broken.size() == 1);
@@ -58,7 +64,7 @@
 
 TEST_CASE("a lost datagram is made good by the next digests", "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(2);
-  fronts[0].ReportBreak(kPoison, kStart);
+  Break(fronts[0], kPoison, kStart);
   fronts[0].TakeUntold(kStart);
   absl::Time later = kStart + absl::Seconds(3);
   fronts[1].Take(fronts[0].Recent(later), later);
@@ -67,7 +73,7 @@
 
 TEST_CASE("what a front saw outlives it", "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(3);
-  fronts[0].ReportBreak(kPoison, kStart);
+  Break(fronts[0], kPoison, kStart);
   fronts[1].Take(fronts[0].TakeUntold(kStart), kStart);
   // The first one restarts.
   fronts[0] = CrashSuspects(Incarnation(9));
@@ -81,7 +87,7 @@
 TEST_CASE("what has been forgotten is not heard anew for ever", "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(2);
   absl::Time now = kStart;
-  for (int it = 0; it < 3; ++it) fronts[0].ReportBreak(kPoison, now);
+  for (int it = 0; it < 3; ++it) Break(fronts[0], kPoison, now);
   for (int it = 0; it < 600; ++it) {
     now += absl::Seconds(1);
     CrashSuspects& from = fronts[it % 2];
@@ -96,7 +102,7 @@
           "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(2);
   absl::Time now = kStart;
-  for (int it = 0; it < 3; ++it) fronts[0].ReportBreak(kPoison, now);
+  for (int it = 0; it < 3; ++it) Break(fronts[0], kPoison, now);
   CrashNews old = fronts[0].All(now);
   fronts[1].Take(old, now);
   now += absl::Seconds(1);
@@ -110,17 +116,17 @@
   fronts[1].Take(old, now);
   CHECK(fronts[1].Breaks(kPoison) == 0);
   now += absl::Seconds(1);
-  fronts[1].ReportBreak(kPoison, now);
+  Break(fronts[1], kPoison, now);
   fronts[0].Take(fronts[1].TakeUntold(now), now);
   CHECK(fronts[0].Breaks(kPoison) == 1);
 }
 
 TEST_CASE("a full table keeps what it has most evidence for", "[dispatch]") {
   CrashSuspects front{Incarnation(1)};
-  front.ReportBreak(kPoison, kStart);
-  front.ReportBreak(kPoison, kStart);
+  Break(front, kPoison, kStart);
+  Break(front, kPoison, kStart);
   for (uint64_t it = 1000; it < 21000; ++it) {
-    front.ReportBreak(Fingerprint(it), kStart + absl::Milliseconds(it));
+    Break(front, Fingerprint(it), kStart + absl::Milliseconds(it));
   }
   CHECK(front.Breaks(kPoison) == 2);
   // The newest has room.
@@ -131,6 +137,44 @@
   CHECK(news.broken[0].fingerprint == kPoison);
 }
 
+TEST_CASE("a silent run counts once its server has ended", "[dispatch]") {
+  CrashSuspects front{Incarnation(1)};
+  LostRun run{kPoison, kServer, kStart, /*is_closed=*/false};
+  absl::Time lost = kStart + absl::Seconds(2);
+  front.ReportLost(run, lost);
+  CHECK(front.Breaks(kPoison) == 0);
+  front.ReportServerEnd(BackendName("s2"), lost);
+  CHECK(front.Breaks(kPoison) == 0);
+  front.ReportServerEnd(kServer, lost + absl::Seconds(5));
+  CHECK(front.Breaks(kPoison) == 1);
+  // Once.
+  front.ReportServerEnd(kServer, lost + absl::Seconds(5));
+  CHECK(front.Breaks(kPoison) == 1);
+}
+
+TEST_CASE("a silent run counts if its server ended while it ran",
+          "[dispatch]") {
+  CrashSuspects front{Incarnation(1)};
+  front.ReportServerEnd(kServer, kStart);
+  absl::Time lost = kStart + absl::Seconds(2);
+  LostRun before{kPoison, kServer, kStart - absl::Seconds(1), false};
+  front.ReportLost(before, lost);
+  CHECK(front.Breaks(kPoison) == 1);
+  // It was sent to the next start of the server.
+  LostRun after{kPoison, kServer, kStart + absl::Seconds(1), false};
+  front.ReportLost(after, lost);
+  CHECK(front.Breaks(kPoison) == 1);
+}
+
+TEST_CASE("a silent run at a server that lives on is no break", "[dispatch]") {
+  CrashSuspects front{Incarnation(1)};
+  front.ReportLost({kPoison, kServer, kStart, false}, kStart);
+  absl::Time later = kStart + absl::Seconds(10);
+  front.Prune(later);
+  front.ReportServerEnd(kServer, later);
+  CHECK(front.Breaks(kPoison) == 0);
+}
+
 // Whatever is lost, repeated or reordered, fronts that have heard all agree on
 // the number of breaks.
 TEST_CASE("merging is a union of sets", "[dispatch]") {
@@ -145,7 +189,7 @@
       size_t front = *rc::gen::inRange<size_t>(0, fronts.size());
       switch (*rc::gen::inRange(0, 4)) {
         case 0:
-          fronts[front].ReportBreak(kPoison, now);
+          Break(fronts[front], kPoison, now);
           ++breaks;
           break;
         case 1:
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -135,7 +135,7 @@
 }
 
 TEST_CASE("a request under which servers go dark is stopped",
-          "[front][crash][.][known-red]") {
+          "[front][crash]") {
   CrashingFleet it("/book/poison", CrashSign::kDark);
   it.SendUntil("POST", kToleratedCrashes);
   it.CheckStopped("POST");
@@ -149,7 +149,7 @@
 }
 
 TEST_CASE("a prompt that crashes the engines that read it is stopped",
-          "[front][crash][.][known-red]") {
+          "[front][crash]") {
   CrashingFleet it("/note/poison", CrashSign::kClosed);
   it.SendUntil("POST", kToleratedCrashes);
   it.CheckStopped("POST");
--- a/unittests/front/reports_test.cc
+++ b/unittests/front/reports_test.cc
@@ -32,7 +32,8 @@
   it.SetFaults({"d1", "d2"}, Fault::kBreakMidway);
   it.Get("POST", "/note/x");
   RequestStory story = it.Story("id1");
-  CHECK(EventsOf(story) == "placed streaming run_lost decode_broke_off request_done ");
+  CHECK(EventsOf(story) ==
+        "placed streaming run_lost decode_broke_off request_done ");
   CHECK(story.outcome == "cut");
   CHECK(story.reason == "backend_broke_off");
 }
