Tell lookups without a body apart by their target

Callers saw: a lookup that ends its servers was never looked at, as requests without a body were left out of the counting; worse, all of them shared one entry, which any of them could raise or clear.

Cause: the belief that such requests can't be told apart.

The test failed before (the third request was served by a server, 200).

--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -16,6 +16,8 @@
 constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
 constexpr absl::Duration kRetryAfterQuarantine = absl::Seconds(4);
 
+// A client account is known by its address. Without a body the target alone
+// names the work.
 Fingerprint FingerprintOf(const HttpRequest& request, const Endpoint& client) {
   uint64_t hash = StableHash(request.head.method);
   hash = StableHash(request.head.target, hash);
@@ -23,11 +25,6 @@
   return Fingerprint(StableHash(request.body, hash));
 }
 
-// Fingerprints of requests without a body don't tell one request from another.
-bool HasFingerprint(const HttpRequest& request) {
-  return !request.body.empty();
-}
-
 }  // namespace
 
 void FrontDaemon::Reject(ExchangeId id, const RequestFacts& facts, int status,
@@ -76,13 +73,11 @@
   admitted.route = *route;
   admitted.version = table_.version;
   admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
-  if (HasFingerprint(request)) {
-    admitted.fingerprint = FingerprintOf(request, client);
-    if (context_.suspects.IsQuarantined(admitted.fingerprint)) {
-      ++context_.stats.quarantined;
-      Reject(id, facts, 503, "quarantined");
-      return;
-    }
+  admitted.fingerprint = FingerprintOf(request, client);
+  if (context_.suspects.IsQuarantined(admitted.fingerprint)) {
+    ++context_.stats.quarantined;
+    Reject(id, facts, 503, "quarantined");
+    return;
   }
   admitted.request = std::move(request);
   Admit(std::move(admitted));
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -148,6 +148,21 @@
   it.CheckStopped("GET");
 }
 
+TEST_CASE("lookups without a body are told apart by their target",
+          "[front][crash]") {
+  TestDeployment it;
+  it.Start();
+  const char* target = "/check/one";
+  for (int n = 0; n < 2; ++n) {
+    it.SetFaults({"s1", "s2"}, PlatformEngine::Fault::kLoseAnswer, 1);
+    it.Get("GET", target);
+  }
+  it.SetFaults({"s1", "s2"}, PlatformEngine::Fault::kNone);
+  it.loop.RunFor(absl::Seconds(1));
+  CHECK(it.Get("GET", target).status == 503);
+  CHECK(it.Get("GET", "/check/other").status == 200);
+}
+
 TEST_CASE("a prompt that crashes the engines that read it is stopped",
           "[front][crash]") {
   CrashingFleet it("/note/poison", CrashSign::kClosed);
