A quarantine ends, is extended by further breaks, and callers are told for how long

Callers saw: a request refused as a crash suspect was told to come back in 4 s, when it would be refused again; an innocent one that had shared three ended servers with a guilty one stayed refused for as long as any front remembered.

Change: refused for 120 s after the third break, with that time as Retry-After; then it may run once more, and another break doubles the time, up to 30 minutes. The count outlives the quarantine, so that the trial costs one server, not three. A whole run still clears it at once.

Tests: the end, the doubling, a front that starts later (dispatch); Retry-After at each refusal over four fronts (front).

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -78,7 +78,12 @@
   // break is known now.
   std::vector<Fingerprint> Take(const CrashNews& news, absl::Time now);
 
-  bool IsQuarantined(Fingerprint fingerprint) const;
+  // For how much longer it must not run; zero if it may. After that it may run
+  // once more: another break extends the quarantine to twice the time.
+  absl::Duration QuarantineLeft(Fingerprint fingerprint, absl::Time now) const;
+  bool IsQuarantined(Fingerprint fingerprint, absl::Time now) const {
+    return QuarantineLeft(fingerprint, now) > absl::ZeroDuration();
+  }
   // In the whole fleet, as far as this front knows.
   uint32_t Breaks(Fingerprint fingerprint) const;
 
@@ -99,6 +104,9 @@
     absl::Time exonerated = absl::InfinitePast();
 
     absl::Time LastChange() const;
+    absl::Time QuarantineEnd() const;
+    // When it no longer tells anything.
+    absl::Time Expiry() const;
   };
   using EntryMap = std::map<Fingerprint, Entry>;
   using Filter = absl::FunctionRef<bool(const Entry&, const AttemptId& run,
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -50,8 +50,10 @@
  private:
   void OnRequest(ExchangeId id, const Endpoint& client, HttpRequest request);
   void Admit(AdmittedRequest admitted);
+  // `retry_after` only with 503.
   void Reject(ExchangeId id, const RequestFacts& facts, int status,
-              absl::string_view reason);
+              absl::string_view reason,
+              absl::Duration retry_after = absl::ZeroDuration());
   void OnControlRequest(EventHttpServer& server, ExchangeId id,
                         const HttpRequest& request);
   void OnTable(const RouteTable& table);
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -10,6 +10,14 @@
 
 // A caller sends such a request again within that time or not at all.
 constexpr absl::Duration kRetention = absl::Seconds(120);
+// A request that only happened to be there may run again after that time; it
+// doubles with each further break.
+constexpr absl::Duration kFirstQuarantine = kRetention;
+constexpr absl::Duration kLongestQuarantine = absl::Minutes(30);
+// The two together.
+constexpr absl::Duration kLongestMemory = absl::Minutes(32);
+// Of one fingerprint: enough for the longest quarantine.
+constexpr size_t kMaxBreaks = 12;
 constexpr size_t kMaxEntries = 4096;
 // Part of a full table that is forgotten at once.
 constexpr size_t kForgottenPart = 4;
@@ -32,6 +40,17 @@
   return last;
 }
 
+absl::Time CrashSuspects::Entry::QuarantineEnd() const {
+  if (breaks.size() < kQuarantineBreaks) return absl::InfinitePast();
+  absl::Duration length = kFirstQuarantine;
+  for (size_t it = kQuarantineBreaks; it < breaks.size(); ++it) length *= 2;
+  return LastChange() + std::min(length, kLongestQuarantine);
+}
+
+absl::Time CrashSuspects::Entry::Expiry() const {
+  return std::max(LastChange(), QuarantineEnd()) + kRetention;
+}
+
 CrashSuspects::Entry& CrashSuspects::EntryOf(Fingerprint fingerprint,
                                              absl::Time now) {
   if (entries_.size() >= kMaxEntries && entries_.count(fingerprint) == 0) {
@@ -62,7 +81,14 @@
 void CrashSuspects::Count(Fingerprint fingerprint, const BackendName& backend,
                           absl::Time now) {
   AttemptId run{front_, ++sequence_};
-  EntryOf(fingerprint, now).breaks[run] = now;
+  Entry& entry = EntryOf(fingerprint, now);
+  if (entry.breaks.size() >= kMaxBreaks) {
+    // As many again: only the last one's time matters.
+    entry.breaks.erase(std::min_element(
+        entry.breaks.begin(), entry.breaks.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  entry.breaks[run] = now;
   untold_breaks_.emplace_back(fingerprint, run);
   if (on_counted_) on_counted_(fingerprint, backend, now);
 }
@@ -99,7 +125,7 @@
 std::vector<Fingerprint> CrashSuspects::Take(const CrashNews& news,
                                              absl::Time now) {
   for (const Exoneration& it : news.exonerations) {
-    if (it.age > kRetention) continue;
+    if (it.age > kLongestMemory) continue;
     absl::Time at = now - it.age;
     Entry& entry = EntryOf(it.fingerprint, now);
     if (at <= entry.exonerated) continue;
@@ -111,17 +137,21 @@
   std::vector<Fingerprint> grown;
   for (const BrokenRun& it : news.broken) {
     absl::Time at = now - it.age;
-    if (it.age > kRetention) continue;
+    if (it.age > kLongestMemory) continue;
     Entry& entry = EntryOf(it.fingerprint, now);
     if (at <= entry.exonerated) continue;
+    if (entry.breaks.size() >= kMaxBreaks) continue;
     if (!entry.breaks.emplace(it.run, at).second) continue;
     grown.push_back(it.fingerprint);
   }
   return grown;
 }
 
-bool CrashSuspects::IsQuarantined(Fingerprint fingerprint) const {
-  return Breaks(fingerprint) >= kQuarantineBreaks;
+absl::Duration CrashSuspects::QuarantineLeft(Fingerprint fingerprint,
+                                             absl::Time now) const {
+  auto it = entries_.find(fingerprint);
+  if (it == entries_.end()) return absl::ZeroDuration();
+  return std::max(absl::ZeroDuration(), it->second.QuarantineEnd() - now);
 }
 
 uint32_t CrashSuspects::Breaks(Fingerprint fingerprint) const {
@@ -184,12 +214,12 @@
 CrashNews CrashSuspects::All(absl::Time now) const {
   auto is_told = [](const Entry& /*entry*/, const AttemptId& /*run*/,
                     absl::Time /*at*/) { return true; };
-  return Select(is_told, now - kRetention, now);
+  return Select(is_told, now - kLongestMemory, now);
 }
 
 void CrashSuspects::Prune(absl::Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
-    bool is_over = now - it->second.LastChange() > kRetention;
+    bool is_over = it->second.Expiry() < now;
     it = is_over ? entries_.erase(it) : std::next(it);
   }
   for (auto it = silent_runs_.begin(); it != silent_runs_.end();) {
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -249,7 +249,7 @@
                            OutcomeHandler handler) {
   ExchangeId id(next_id_++);
   repeats_.OnRequest();
-  if (suspects_.IsQuarantined(Fingerprint(request.number))) {
+  if (suspects_.IsQuarantined(Fingerprint(request.number), queue_.now())) {
     EmulatedOutcome outcome;
     outcome.kind = EmulatedOutcome::Kind::kFailed;
     handler(outcome);
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -14,7 +14,6 @@
 
 // A front that starts learns its configuration about that soon.
 constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
-constexpr absl::Duration kRetryAfterQuarantine = absl::Seconds(4);
 
 // A client account is known by its address. Without a body the target alone
 // names the work.
@@ -28,7 +27,7 @@
 }  // namespace
 
 void FrontDaemon::Reject(ExchangeId id, const RequestFacts& facts, int status,
-                         absl::string_view reason) {
+                         absl::string_view reason, absl::Duration retry_after) {
   HttpResponse response;
   response.status = status;
   if (!facts.request_id.empty()) {
@@ -36,8 +35,7 @@
         context_.protocol.RequestIdField(facts.request_id));
   }
   if (status == 503) {
-    response.fields.push_back(context_.protocol.RetryAfter(
-        reason == "quarantined" ? kRetryAfterQuarantine : kRetryAfterStart));
+    response.fields.push_back(context_.protocol.RetryAfter(retry_after));
   }
   clients_.Respond(id, response);
   context_.stats.CountOutcome("-", absl::StrCat(reason));
@@ -57,7 +55,7 @@
   admitted.facts = context_.protocol.ReadRequest(request.head);
   const RequestFacts& facts = admitted.facts;
   if (!store_.has_table()) {
-    Reject(id, facts, 503, "no_configuration");
+    Reject(id, facts, 503, "no_configuration", kRetryAfterStart);
     return;
   }
   if (facts.request_id.empty()) {
@@ -74,9 +72,11 @@
   admitted.version = table_.version;
   admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
   admitted.fingerprint = FingerprintOf(request, client);
-  if (context_.suspects.IsQuarantined(admitted.fingerprint)) {
+  absl::Duration quarantine =
+      context_.suspects.QuarantineLeft(admitted.fingerprint, admitted.arrived);
+  if (quarantine > absl::ZeroDuration()) {
     ++context_.stats.quarantined;
-    Reject(id, facts, 503, "quarantined");
+    Reject(id, facts, 503, "quarantined", quarantine);
     return;
   }
   admitted.request = std::move(request);
--- a/unittests/dispatch/crash_suspects_test.cc
+++ b/unittests/dispatch/crash_suspects_test.cc
@@ -33,16 +33,18 @@
   CrashSuspects& here = fronts[0];
   CrashSuspects& there = fronts[1];
   for (uint32_t it = 0; it < CrashSuspects::kQuarantineBreaks; ++it) {
-    CHECK_FALSE(here.IsQuarantined(kPoison));
+    CHECK_FALSE(here.IsQuarantined(kPoison, kStart));
     Break(here, kPoison, kStart);
   }
-  CHECK(here.IsQuarantined(kPoison));
+  CHECK(here.IsQuarantined(kPoison, kStart));
   there.Take(here.Recent(kStart), kStart);
-  CHECK(there.IsQuarantined(kPoison));
-  here.Prune(kStart + absl::Minutes(5));
-  CHECK_FALSE(here.IsQuarantined(kPoison));
+  CHECK(there.IsQuarantined(kPoison, kStart));
+  absl::Time later = kStart + absl::Minutes(5);
+  here.Prune(later);
+  CHECK_FALSE(here.IsQuarantined(kPoison, later));
+  CHECK(here.Breaks(kPoison) == 0);
   there.ReportWhole(kPoison, kStart);
-  CHECK_FALSE(there.IsQuarantined(kPoison));
+  CHECK_FALSE(there.IsQuarantined(kPoison, kStart));
 }
 
 TEST_CASE("breaks that several fronts saw one each are added up",
@@ -82,6 +84,26 @@
   CHECK(fronts[0].Breaks(kPoison) == 1);
 }
 
+TEST_CASE("a quarantine ends, and a break after it is one for longer",
+          "[dispatch]") {
+  std::vector<CrashSuspects> fronts = Fronts(2);
+  absl::Time now = kStart;
+  for (int it = 0; it < 3; ++it) Break(fronts[0], kPoison, now);
+  absl::Duration first = fronts[0].QuarantineLeft(kPoison, now);
+  CHECK(first > absl::ZeroDuration());
+  now += first;
+  for (CrashSuspects& it : fronts) it.Prune(now);
+  CHECK_FALSE(fronts[0].IsQuarantined(kPoison, now));
+  Break(fronts[0], kPoison, now);
+  CHECK(fronts[0].QuarantineLeft(kPoison, now) == 2 * first);
+  // A front that has just started is told so, too.
+  now += first;
+  fronts[1].Take(fronts[0].All(now), now);
+  CHECK(fronts[1].QuarantineLeft(kPoison, now) == first);
+  for (int it = 0; it < 40; ++it) Break(fronts[0], kPoison, now);
+  CHECK(fronts[0].QuarantineLeft(kPoison, now) == absl::Minutes(30));
+}
+
 // Each front hears it a moment later than the one before, so that for each one
 // that forgets it there is another that still tells it.
 TEST_CASE("what has been forgotten is not heard anew for ever", "[dispatch]") {
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -206,7 +206,7 @@
   it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
   REQUIRE(it.port.ending.has_value());
   CHECK(it.port.ending->kind == StreamEnding::Kind::kCut);
-  CHECK(it.suspects.IsQuarantined(kFingerprint));
+  CHECK(it.suspects.IsQuarantined(kFingerprint, it.now));
   it.CheckNothingHeld();
 }
 
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "deployment.h"
 
@@ -94,6 +95,10 @@
     for (int it = 0; it < 2 * kFronts; ++it) {
       Answer answer = Send(method, next_front_++);
       CHECK(answer.status == 503);
+      // Coming back sooner is of no use.
+      double seconds = 0;
+      CHECK(absl::SimpleAtod(answer.head.Get("Retry-After"), &seconds));
+      CHECK(seconds > 60);
     }
     CHECK(Crashes() == kToleratedCrashes);
   }
