Ask for the verdict on a crash suspect before every send

Callers saw: a lookup whose first send ended the third server was sent to a fourth by the second attempt of the same request; a stream that waited, whose prompt had been read, or that resumed went on to further engines although the fleet knew better by then.

Cause: the verdict was asked for once, as the request arrived.

--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -149,6 +149,9 @@
   // Until a stream without a new event has stalled for good.
   absl::Duration StallLeft(absl::Time now) const;
 
+  // Ends it if it still waits although it must not run any more.
+  void RecheckWaiting(absl::Time now);
+
   // Gives all places back; the port hears nothing more.
   void Close();
 
@@ -160,7 +163,9 @@
  private:
   void Submit(absl::Time now);
   StreamJob MakeJob(absl::Time now) const;
-  void StartPrompt();
+  // Ends it if servers are known to end under such requests.
+  bool RefuseIfQuarantined(absl::Time now);
+  void StartPrompt(absl::Time now);
   void StartDecode(absl::Time now);
   // Takes a repeated send out of the budget if this is not the first send and
   // none that was taken is left; if there is none, ends the stream.
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -51,8 +51,9 @@
 enum class StreamRefusalReason {
   kQueueTooLong,  // it could not be served within the client's patience
   kWaitedTooLong,
-  kNoEngines,  // those tried refused it
-  kNoBudget,   // it would take a repeated send beyond the budget
+  kNoEngines,    // those tried refused it
+  kNoBudget,     // it would take a repeated send beyond the budget
+  kQuarantined,  // servers end under such requests
 };
 
 struct StreamRefusal {
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -65,6 +65,8 @@
   // Has the scheduler run within that time, or sooner if it is due.
   void WakeScheduler(absl::Duration delay);
   void Housekeep();
+  // Those that wait for a place; what runs has been sent.
+  void EndQuarantinedStreams(absl::Time now);
   // Ties the process's clock, by which lines are stamped, to the time of day.
   void LogClock();
   void ReloadSettings();
--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -37,6 +37,8 @@
   };
 
   void Send();
+  // Servers are known to end under such requests: none gets it any more.
+  bool EndIfQuarantined();
   // What the caller is told if no server may get its call.
   Ending NoBackend() const;
   void OnEvent(uint32_t number, CallEvent event);
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -24,6 +24,8 @@
   void OnClientGone() override;
   void OnPlaced(const StreamPlacement& placement);
   void OnRefused(const StreamRefusal& refusal);
+  // Servers are known to end under such requests.
+  void OnQuarantined();
 
  protected:
   void OnTimeout() override;
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -42,6 +42,8 @@
       return "no_engines";
     case StreamRefusalReason::kNoBudget:
       return "retry_budget_used_up";
+    case StreamRefusalReason::kQuarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -99,6 +101,7 @@
 
 void StreamLifecycle::Submit(absl::Time now) {
   phase_ = Phase::kWaiting;
+  if (RefuseIfQuarantined(now)) return;
   std::optional<StreamRefusal> refusal =
       services_.scheduler.Submit(MakeJob(now), now);
   if (refusal) {
@@ -135,12 +138,29 @@
   placed_on_suspect_ = decode != nullptr && decode->IsSuspect(now);
   step_started_ = now;
   if (placement.prefill) {
-    StartPrompt();
+    StartPrompt(now);
   } else {
     StartDecode(now);
   }
 }
 
+bool StreamLifecycle::RefuseIfQuarantined(absl::Time now) {
+  absl::Duration left =
+      services_.suspects.QuarantineLeft(terms_.fingerprint, now);
+  if (left == absl::ZeroDuration()) return false;
+  Release();
+  DropHandle();
+  OnRefused({terms_.id, StreamRefusalReason::kQuarantined, left});
+  return true;
+}
+
+void StreamLifecycle::RecheckWaiting(absl::Time now) {
+  if (phase_ != Phase::kWaiting) return;
+  if (!services_.suspects.IsQuarantined(terms_.fingerprint, now)) return;
+  services_.scheduler.Withdraw(terms_.id);
+  RefuseIfQuarantined(now);
+}
+
 bool StreamLifecycle::PayForSend() {
   // One that was taken for a call that did not arrive serves the next.
   if (arrivals_ <= repeats_taken_) return true;
@@ -154,8 +174,8 @@
   return false;
 }
 
-void StreamLifecycle::StartPrompt() {
-  if (!PayForSend()) return;
+void StreamLifecycle::StartPrompt(absl::Time now) {
+  if (RefuseIfQuarantined(now) || !PayForSend()) return;
   // The first prompt call counts as a send only if the engine refuses it.
   if (prompt_sends_ > 0) ++arrivals_;
   phase_ = Phase::kPrompt;
@@ -224,7 +244,7 @@
     Submit(now);
     return;
   }
-  if (!PayForSend()) return;
+  if (RefuseIfQuarantined(now) || !PayForSend()) return;
   ++arrivals_;
   ++decode_sends_;
   ++runs_;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -321,6 +321,7 @@
   peer_copy_.Tick();
   if (IsReady() && store_.is_reachable()) stages_.Tick();
   context_.suspects.Prune(now);
+  EndQuarantinedStreams(now);
   if (IsReady() != was_ready_) {
     was_ready_ = IsReady();
     context_.log.Write(now, "readiness", {{"ready", was_ready_}});
@@ -328,6 +329,17 @@
   if (stopping_) CheckShutdown();
 }
 
+void FrontDaemon::EndQuarantinedStreams(absl::Time now) {
+  std::vector<StreamRelay*> quarantined;
+  for (const auto& it : streams_) {
+    Fingerprint fingerprint = it.second->admitted().fingerprint;
+    if (context_.suspects.IsQuarantined(fingerprint, now)) {
+      quarantined.push_back(it.second);
+    }
+  }
+  for (StreamRelay* it : quarantined) it->OnQuarantined();
+}
+
 void FrontDaemon::ReloadSettings() {
   SettingsError error;
   std::string text = ReadText(settings_file_);
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -52,6 +52,21 @@
          !is_client_gone_;
 }
 
+bool PlainRelay::EndIfQuarantined() {
+  absl::Duration left =
+      context().suspects.QuarantineLeft(admitted().fingerprint, Now());
+  if (left == absl::ZeroDuration()) return false;
+  if (!attempts_.empty()) return true;  // it ends with the run that is open
+  ++context().stats.quarantined;
+  if (failure_answer_) {
+    Deliver(*failure_answer_);
+    return true;
+  }
+  End(runs_ == 0 ? Ending{503, "quarantined", left}
+                 : Ending{502, "quarantined"});
+  return true;
+}
+
 void PlainRelay::Send() {
   ZoneName zone(context().settings.zone);
   BackendState* backend = ChooseForCall(context().backends, admitted().service,
@@ -179,6 +194,7 @@
 }
 
 void PlainRelay::SendAgainOrEnd(Cost cost, const Ending& otherwise) {
+  if (EndIfQuarantined()) return;
   bool may_send = sends_ < kMaxSends && !is_client_gone_ &&
                   Remaining() > absl::ZeroDuration();
   if (may_send && (cost == Cost::kNone || TakeRepeat())) {
@@ -243,6 +259,7 @@
 
 void PlainRelay::OnSlow() {
   if (!MayRunAgain() || attempts_.empty()) return;
+  if (context().suspects.IsQuarantined(admitted().fingerprint, Now())) return;
   if (context().quota.Left(admitted().service, Now()) < kHedgeReserve) return;
   if (!TakeRepeat()) return;
   LogTrouble("slow", attempts_.begin()->second.backend.value(), "second run");
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -77,6 +77,9 @@
 void StreamRelay::WakeScheduler() { context().wake_scheduler(); }
 
 void StreamRelay::End(const StreamEnding& ending) {
+  if (ending.reason == ReasonText(StreamRefusalReason::kQuarantined)) {
+    ++context().stats.quarantined;
+  }
   switch (ending.kind) {
     case StreamEnding::Kind::kCut:
       Cut(ending.reason);
@@ -378,6 +381,8 @@
          lifecycle_.is_streaming() ? "streaming" : "before first event");
 }
 
+void StreamRelay::OnQuarantined() { lifecycle_.RecheckWaiting(Now()); }
+
 void StreamRelay::OnTimeout() {
   AbandonCall("timeout");
   context().scheduler.Withdraw(admitted().id);
--- a/unittests/dispatch/crash_suspects_test.cc
+++ b/unittests/dispatch/crash_suspects_test.cc
@@ -197,6 +197,9 @@
   CHECK(front.Breaks(kPoison) == 0);
 }
 
+// Of one fingerprint; far beyond what is needed for a verdict.
+constexpr int kMostKept = 12;
+
 // Whatever is lost, repeated or reordered, fronts that have heard all agree on
 // the number of breaks.
 TEST_CASE("merging is a union of sets", "[dispatch]") {
@@ -211,6 +214,7 @@
       size_t front = *rc::gen::inRange<size_t>(0, fronts.size());
       switch (*rc::gen::inRange(0, 4)) {
         case 0:
+          if (breaks == kMostKept) break;
           Break(fronts[front], kPoison, now);
           ++breaks;
           break;
--- a/unittests/dispatch/stream_lifecycle_test.cc
+++ b/unittests/dispatch/stream_lifecycle_test.cc
@@ -79,6 +79,60 @@
   it.CheckNothingHeld();
 }
 
+// Breaks that other fronts saw.
+void Quarantine(Stream& it) {
+  CrashSuspects other{Incarnation(2)};
+  for (int n = 0; n < 3; ++n) {
+    other.ReportLost({kFingerprint, BackendName("d9"), it.now, true}, it.now);
+  }
+  it.suspects.Take(other.All(it.now), it.now);
+}
+
+TEST_CASE("a stream that became a crash suspect while it waited is not sent",
+          "[dispatch]") {
+  Stream it;
+  it.lifecycle.Start(it.now);
+  Quarantine(it);
+  SECTION("when it is placed") { it.Schedule(); }
+  SECTION("nor is it kept waiting") { it.lifecycle.RecheckWaiting(it.now); }
+  CHECK(it.port.prompts.empty());
+  REQUIRE(it.port.ending.has_value());
+  CHECK(it.port.ending->kind == StreamEnding::Kind::kRefused);
+  CHECK(it.port.ending->reason == "quarantined");
+  CHECK(it.port.ending->retry_after > absl::Minutes(1));
+  it.Schedule();
+  CHECK(it.port.prompts.empty());
+  CHECK(it.port.endings == 1);
+  it.CheckNothingHeld();
+}
+
+TEST_CASE("a crash suspect whose prompt has been read is not sent further",
+          "[dispatch]") {
+  Stream it;
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  REQUIRE(it.port.prompts.size() == 1);
+  Quarantine(it);
+  it.lifecycle.OnPromptRead(it.now);
+  CHECK(it.port.decodes.empty());
+  REQUIRE(it.port.ending.has_value());
+  CHECK(it.port.ending->kind == StreamEnding::Kind::kRefused);
+  CHECK(it.port.freed == 1);
+  it.CheckNothingHeld();
+}
+
+TEST_CASE("a crash suspect does not go on at another engine", "[dispatch]") {
+  Stream it(/*resumable=*/true);
+  it.StartAndReadPrompt();
+  it.lifecycle.OnStreaming(it.now);
+  Quarantine(it);
+  it.lifecycle.OnDecodeBroken(DecodeFailure::kClosed, it.now);
+  REQUIRE(it.port.ending.has_value());
+  CHECK(it.port.ending->kind == StreamEnding::Kind::kCut);
+  CHECK(it.port.decodes.size() == 1);
+  it.CheckNothingHeld();
+}
+
 TEST_CASE("prompt calls that reach no engine cost no repeated send",
           "[dispatch]") {
   Stream it;
