Only a whole good run clears a request that servers ended under

Cause: any answer counted as a run to its end. A server that fails or sheds requests answers without having run them.

Change: a success with a receipt, and nothing else, clears.

--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -232,7 +232,9 @@
     RepeatOrFail("unproven_answer");
     return;
   }
-  context().suspects.ReportWhole(admitted().fingerprint, Now());
+  if (IsSuccess(status)) {
+    context().suspects.ReportWhole(admitted().fingerprint, Now());
+  }
   if (status >= kFirstFailure && MayRunAgain()) {
     failure_answer_ = attempt;
     LogTrouble("engine_failed", attempt.backend.value(), "repeating");
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -271,7 +271,6 @@
     return;
   }
   if (!IsSuccess(head_.status)) {
-    context().suspects.ReportWhole(admitted().fingerprint, Now());
     if (lifecycle_.is_streaming()) {
       Cut("resumed run failed");
       return;
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -168,6 +168,24 @@
   CHECK(it.Get("GET", "/check/other").status == 200);
 }
 
+TEST_CASE("a failure that a server answers clears no count of ended servers",
+          "[front][crash]") {
+  using Fault = PlatformEngine::Fault;
+  TestDeployment it;
+  it.Start();
+  auto book = [&it](Fault fault) {
+    it.SetFaults({"s1", "s2"}, fault);
+    auto answer = it.Ask("POST", "/book/x", "", 2000, kBody);
+    it.loop.RunFor(absl::Seconds(1));
+    return answer->status;
+  };
+  CHECK(book(Fault::kLoseAnswer) == 502);
+  CHECK(book(Fault::kLoseAnswer) == 502);
+  CHECK(book(Fault::kFail) == 500);
+  CHECK(book(Fault::kLoseAnswer) == 502);
+  CHECK(book(Fault::kNone) == 503);
+}
+
 TEST_CASE("a prompt that crashes the engines that read it is stopped",
           "[front][crash]") {
   CrashingFleet it("/note/poison", CrashSign::kClosed);
