Broken runs of crash suspects outlive all fronts in the store

Callers would have seen: after a power loss of all fronts a request that had been stopped ended three more servers. Nothing on a host lasts, and what fronts tell each other is gone with them; so is it for a front that is cut off from its peers but not from the store.

Change: from two breaks of a request on, each front writes its own runs to the store, one key each under a lease, so that nobody reads before writing and writing twice is harmless. All fronts hear them by the watch that they have; a front that starts reads them after the servers, which its readiness does not wait for (one more call a start). The call to the store that the stage duty made is shared now.

What is left: that a later run was whole is not written; after a restart of all fronts within minutes such a request is refused for up to two minutes.

The test failed without the writing: 502 and a fourth server ended, in place of 503 and three.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -100,6 +100,11 @@
   // All that is known, for a front that has just been found.
   CrashNews All(absl::Time now) const;
 
+  // What this front saw of fingerprints with several breaks and that is not
+  // known to be recorded outside of the fronts.
+  std::vector<BrokenRun> Unrecorded(absl::Time now) const;
+  void MarkRecorded(const std::vector<BrokenRun>& runs);
+
   // Drops what is past its retention period.
   void Prune(absl::Time now);
 
@@ -142,6 +147,8 @@
   std::map<BackendName, absl::Time> server_ends_;
   std::vector<std::pair<Fingerprint, AttemptId>> untold_breaks_;
   std::vector<Fingerprint> untold_exonerations_;
+  // By this front, while they are kept.
+  std::map<AttemptId, Fingerprint> unrecorded_;
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/crash_suspects.h"
@@ -21,6 +22,9 @@
 
 namespace chervilwick {
 
+// As in the lines of the log.
+std::string FingerprintText(Fingerprint fingerprint);
+
 // Owned by the daemon; outlives every relay.
 struct FrontContext {
   FrontContext(EventLoop& event_loop, const OutsideProtocol& outside,
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -12,6 +12,7 @@
 
 #include "absl/random/random.h"
 #include "absl/time/clock.h"
+#include "chervilwick/front/crash_records.h"
 #include "chervilwick/front/front_context.h"
 #include "chervilwick/front/peer_copy.h"
 #include "chervilwick/front/peer_link.h"
@@ -64,6 +65,8 @@
   void RunScheduler();
   // Has the scheduler run within that time, or sooner if it is due.
   void WakeScheduler(absl::Duration delay);
+  // Runs that other fronts lost, from them or from the store.
+  void HearCrashNews(const CrashNews& news, const std::string& source);
   void Housekeep();
   // Those that wait for a place; what runs has been sent.
   void EndQuarantinedStreams(absl::Time now);
@@ -87,6 +90,7 @@
   PeerLink peers_;
   PeerCopy peer_copy_;
   StageKeeper stages_;
+  CrashRecords crash_records_;
   Timer scheduler_wake_;
   absl::Time scheduler_due_ = absl::InfiniteFuture();
   absl::BitGen random_;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -13,6 +13,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "chervilwick/dispatch/backend_record.h"
+#include "chervilwick/dispatch/crash_suspects.h"
 #include "chervilwick/dispatch/route_table.h"
 #include "chervilwick/net/http_message.h"
 
@@ -90,11 +91,12 @@
 struct StageDutyHolder {
   std::string holder;
 };
-using StoreFact = std::variant<UnrelatedItem, MalformedItem, BackendRecord,
-                               BackendRemoved, RouteTable, StageDutyHolder>;
+using StoreFact =
+    std::variant<UnrelatedItem, MalformedItem, BackendRecord, BackendRemoved,
+                 RouteTable, StageDutyHolder, BrokenRun>;
 
 // Part of the store that is read at start.
-enum class StoreSection { kConfiguration, kBackends };
+enum class StoreSection { kConfiguration, kBackends, kBrokenRuns };
 
 class OutsideProtocol {
  public:
@@ -130,6 +132,9 @@
   // Makes the key of the duty if nobody holds it.
   virtual HttpRequest ClaimStageDuty(const std::string& holder,
                                      const std::string& lease) const = 0;
+  // Writes one key each; their ages are not kept.
+  virtual HttpRequest RecordBrokenRuns(const std::vector<BrokenRun>& runs,
+                                       const std::string& lease) const = 0;
   virtual std::optional<uint64_t> ReadRevision(
       absl::string_view body) const = 0;
   virtual HttpRequest StageOrder(const BackendName& expected, EngineStage stage,
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -25,9 +25,6 @@
   absl::Time arrived;
 };
 
-// As in the lines of the log.
-std::string FingerprintText(Fingerprint fingerprint);
-
 // Why a request ends without an engine's answer.
 struct Ending {
   int status = 503;
--- a/include/chervilwick/front/stage_keeper.h
+++ b/include/chervilwick/front/stage_keeper.h
@@ -40,8 +40,6 @@
   void OrderNext();
   void GiveUp(const char* why);
   std::optional<StageChange> NextChange() const;
-  void CallStore(const HttpRequest& request,
-                 std::function<void(int status, const std::string& body)> done);
 
   FrontContext& context_;
   std::function<std::set<ServiceName>()> services_;
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -27,6 +27,7 @@
     std::function<void(const BackendName&, absl::Time at)> on_removed;
     std::function<void(bool reachable, absl::string_view why)> on_reachable;
     std::function<void(const std::string& holder)> on_duty_holder;
+    std::function<void(const BrokenRun&)> on_broken_run;
   };
 
   StoreSync(FrontContext& context, Listener listener);
@@ -44,12 +45,14 @@
   bool TakeSnapshot(const std::string& snapshot);
 
  private:
-  enum class Step { kConfiguration, kBackends, kWatch };
+  enum class Step { kConfiguration, kBackends, kBrokenRuns, kWatch };
 
   // A waiting call may be cut; a second failure in a row, or a call without an
   // answer, is an outage.
   static constexpr int kOutageFailures = 2;
 
+  // The section that is read in a step before the watch.
+  static StoreSection SectionOf(Step step);
   void Call();
   void OnEvent(CallEvent event);
   void OnAnswer();
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -96,6 +96,7 @@
   }
   entry.breaks[run] = lost;
   untold_breaks_.emplace_back(fingerprint, run);
+  unrecorded_[run] = fingerprint;
   if (on_counted_) on_counted_(fingerprint, backend, now);
 }
 
@@ -250,11 +251,32 @@
   return Select(is_told, now - kLongestMemory, now);
 }
 
+std::vector<BrokenRun> CrashSuspects::Unrecorded(absl::Time now) const {
+  std::vector<BrokenRun> runs;
+  for (const auto& it : unrecorded_) {
+    auto entry = entries_.find(it.second);
+    if (entry == entries_.end()) continue;
+    auto run = entry->second.breaks.find(it.first);
+    bool is_notable = entry->second.breaks.size() >= kNotableBreaks;
+    if (!is_notable || run == entry->second.breaks.end()) continue;
+    runs.push_back({it.second, it.first, now - run->second});
+  }
+  return runs;
+}
+
+void CrashSuspects::MarkRecorded(const std::vector<BrokenRun>& runs) {
+  for (const BrokenRun& it : runs) unrecorded_.erase(it.run);
+}
+
 void CrashSuspects::Prune(absl::Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     bool is_over = it->second.Expiry() < now;
     it = is_over ? entries_.erase(it) : std::next(it);
   }
+  for (auto it = unrecorded_.begin(); it != unrecorded_.end();) {
+    it =
+        entries_.count(it->second) == 0 ? unrecorded_.erase(it) : std::next(it);
+  }
   for (auto it = server_ends_.begin(); it != server_ends_.end();) {
     bool is_over = now - it->second > kRetention;
     it = is_over ? server_ends_.erase(it) : std::next(it);
--- a/lib/front/front_context.cc
+++ b/lib/front/front_context.cc
@@ -4,6 +4,7 @@
 
 #include <ctime>
 
+#include "absl/strings/str_cat.h"
 #include "chervilwick/support/random_seed.h"
 
 namespace chervilwick {
@@ -17,6 +18,10 @@
 
 }  // namespace
 
+std::string FingerprintText(Fingerprint fingerprint) {
+  return absl::StrCat(absl::Hex(fingerprint.value(), absl::kZeroPad16));
+}
+
 FrontContext::FrontContext(EventLoop& event_loop,
                            const OutsideProtocol& outside,
                            const FrontSettings& front_settings,
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -99,6 +99,9 @@
                           } else {
                             stages_.OnHolder(holder);
                           }
+                        },
+                        [this](const BrokenRun& it) {
+                          HearCrashNews({{it}, {}}, "store");
                         }}),
       peers_(context_,
              {[this] {
@@ -128,6 +131,7 @@
                 }
                 return services;
               }),
+      crash_records_(context_),
       scheduler_wake_(loop_, [this] { RunScheduler(); }) {
   context_.server = &clients_;
   context_.suspects.SetCountedHandler([this](Fingerprint fingerprint,
@@ -282,12 +286,7 @@
 
 void FrontDaemon::OnDigest(const PeerDigest& digest, const Endpoint& from) {
   context_.backends.SetPeerUse(digest.sender, digest.use);
-  for (Fingerprint it : context_.suspects.Take(digest.crashes, loop_.Now())) {
-    context_.log.Write(loop_.Now(), "break_heard",
-                       {{"fingerprint", FingerprintText(it)},
-                        {"peer", digest.sender},
-                        {"breaks", context_.suspects.Breaks(it)}});
-  }
+  HearCrashNews(digest.crashes, digest.sender);
   for (const auto& it : digest.changing) {
     context_.backends.SetChanging(it.first, loop_.Now() + it.second);
   }
@@ -309,6 +308,16 @@
   WakeScheduler(DelayAfterPeerUse(absl::Uniform<uint64_t>(random_)));
 }
 
+void FrontDaemon::HearCrashNews(const CrashNews& news,
+                                const std::string& source) {
+  for (Fingerprint it : context_.suspects.Take(news, loop_.Now())) {
+    context_.log.Write(loop_.Now(), "break_heard",
+                       {{"fingerprint", FingerprintText(it)},
+                        {"source", source},
+                        {"breaks", context_.suspects.Breaks(it)}});
+  }
+}
+
 void FrontDaemon::Housekeep() {
   absl::Time now = loop_.Now();
   for (const BackendName& it : context_.backends.ExpireLapsed(now)) {
@@ -319,6 +328,7 @@
     context_.stats.ForgetBackend(it.value());
   }
   peer_copy_.Tick();
+  if (store_.is_reachable()) crash_records_.Tick();
   if (IsReady() && store_.is_reachable()) stages_.Tick();
   auto last_heard = [this](const BackendName& it) {
     const BackendState* backend = context_.backends.Find(it);
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -18,10 +18,6 @@
 
 }  // namespace
 
-std::string FingerprintText(Fingerprint fingerprint) {
-  return absl::StrCat(absl::Hex(fingerprint.value(), absl::kZeroPad16));
-}
-
 Relay::Relay(FrontContext& context, AdmittedRequest admitted, Finished finished)
     : context_(context),
       admitted_(std::move(admitted)),
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -5,8 +5,7 @@
 #include <memory>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-#include "chervilwick/support/overloaded.h"
+#include "chervilwick/front/store_call.h"
 
 namespace chervilwick {
 namespace {
@@ -70,38 +69,6 @@
   Lease();
 }
 
-void StageKeeper::CallStore(
-    const HttpRequest& request,
-    std::function<void(int status, const std::string& body)> done) {
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  auto answer = std::make_shared<Answer>();
-  CallOptions options;
-  options.timeout = kCallTimeout;
-  context_.client.Start(
-      *Endpoint::Parse(context_.settings.store), request, options,
-      [this, answer, done = std::move(done)](CallEvent event) {
-        std::visit(
-            Overloaded{
-                [&](HttpHead& head) { answer->status = head.status; },
-                [&](HttpBodyPart& part) {
-                  absl::StrAppend(&answer->body, part.bytes);
-                },
-                [&](HttpEnd&) {
-                  ++context_.stats.store_calls[absl::StrCat(answer->status)];
-                  done(answer->status, answer->body);
-                },
-                [&](CallFailure&) {
-                  ++context_.stats.store_calls["none"];
-                  done(0, "");
-                },
-            },
-            event);
-      });
-}
-
 void StageKeeper::Lease() {
   state_ = State::kLeasing;
   // Fronts that start together don't all ask.
@@ -109,7 +76,7 @@
       context_.boot_time() + kRetryTime * absl::Uniform(random_, 1.0, 2.0);
   lease_sent_ = context_.boot_time();
   timeout_.Arm(kCallTimeout);
-  CallStore(context_.protocol.GrantLease(kLeaseTime),
+  CallStore(context_, context_.protocol.GrantLease(kLeaseTime), kCallTimeout,
             [this](int status, const std::string& body) {
               if (state_ != State::kLeasing) return;
               std::optional<std::string> lease =
@@ -126,30 +93,30 @@
   state_ = State::kClaiming;
   lease_ = lease;
   timeout_.Arm(kCallTimeout);
-  CallStore(context_.protocol.ClaimStageDuty(context_.settings.name, lease),
-            [this](int status, const std::string& body) {
-              if (state_ != State::kClaiming) return;
-              std::optional<uint64_t> revision =
-                  context_.protocol.ReadRevision(body);
-              if (status != kOk || !revision) {
-                GiveUp("another front holds the key");
-                return;
-              }
-              timeout_.Cancel();
-              state_ = State::kHolding;
-              fence_ = *revision;
-              lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
-              may_order_at_ = context_.boot_time() + kSettleTime;
-              context_.log.Write(context_.loop.Now(), "stage_duty",
-                                 {{"held", true}, {"fence", fence_}});
-            });
+  CallStore(
+      context_, context_.protocol.ClaimStageDuty(context_.settings.name, lease),
+      kCallTimeout, [this](int status, const std::string& body) {
+        if (state_ != State::kClaiming) return;
+        std::optional<uint64_t> revision = context_.protocol.ReadRevision(body);
+        if (status != kOk || !revision) {
+          GiveUp("another front holds the key");
+          return;
+        }
+        timeout_.Cancel();
+        state_ = State::kHolding;
+        fence_ = *revision;
+        lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
+        may_order_at_ = context_.boot_time() + kSettleTime;
+        context_.log.Write(context_.loop.Now(), "stage_duty",
+                           {{"held", true}, {"fence", fence_}});
+      });
 }
 
 void StageKeeper::Renew() {
   if (renewing_) return;
   renewing_ = true;
   absl::Time sent = context_.boot_time();
-  CallStore(context_.protocol.KeepLease(lease_),
+  CallStore(context_, context_.protocol.KeepLease(lease_), kCallTimeout,
             [this, sent](int status, const std::string& /*body*/) {
               renewing_ = false;
               if (state_ != State::kHolding) return;
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -51,6 +51,17 @@
 
 void StoreSync::Start() { Call(); }
 
+StoreSection StoreSync::SectionOf(Step step) {
+  switch (step) {
+    case Step::kConfiguration:
+      return StoreSection::kConfiguration;
+    case Step::kBrokenRuns:
+      return StoreSection::kBrokenRuns;
+    default:
+      return StoreSection::kBackends;
+  }
+}
+
 void StoreSync::Call() {
   auto server = Endpoint::Parse(context_.settings.store);
   HttpRequest request;
@@ -59,10 +70,7 @@
     request = context_.protocol.WatchStore(revision_, kWatchWait);
     timeout = kWatchWait + kWatchSlack;
   } else {
-    request = context_.protocol.ReadStore(step_ == Step::kConfiguration
-                                              ? StoreSection::kConfiguration
-                                              : StoreSection::kBackends,
-                                          after_key_);
+    request = context_.protocol.ReadStore(SectionOf(step_), after_key_);
   }
   status_ = 0;
   body_.clear();
@@ -170,9 +178,11 @@
   after_key_.clear();
   if (step_ == Step::kConfiguration) {
     step_ = Step::kBackends;
-  } else {
+  } else if (step_ == Step::kBackends) {
     has_backends_ = true;
     RemoveMissing();
+    step_ = Step::kBrokenRuns;
+  } else {
     // Changes between the first and the last page are seen again.
     revision_ = load_revision_;
     step_ = Step::kWatch;
@@ -233,6 +243,7 @@
             items_.erase(item.key);
             ApplyRemoval(it.id);
           },
+          [&](BrokenRun& it) { listener_.on_broken_run(it); },
           [&](StageDutyHolder& it) { listener_.on_duty_holder(it.holder); },
           [&](RouteTable& it) {
             if (it.version.value() <= version_) return;
--- a/unittests/dispatch/crash_suspects_test.cc
+++ b/unittests/dispatch/crash_suspects_test.cc
@@ -165,6 +165,21 @@
   CHECK(news.broken[0].fingerprint == kPoison);
 }
 
+TEST_CASE("runs are recorded once there are several of a request",
+          "[dispatch]") {
+  std::vector<CrashSuspects> fronts = Fronts(2);
+  Break(fronts[0], kPoison, kStart);
+  Break(fronts[0], Fingerprint(78), kStart);
+  CHECK(fronts[0].Unrecorded(kStart).empty());
+  Break(fronts[1], kPoison, kStart);
+  fronts[0].Take(fronts[1].TakeUntold(kStart), kStart);
+  std::vector<BrokenRun> runs = fronts[0].Unrecorded(kStart);
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].fingerprint == kPoison);
+  fronts[0].MarkRecorded(runs);
+  CHECK(fronts[0].Unrecorded(kStart).empty());
+}
+
 TEST_CASE("a silent run counts once its server has ended", "[dispatch]") {
   CrashSuspects front{Incarnation(1)};
   LostRun run{kPoison, kServer, kStart, /*is_closed=*/false};
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -50,6 +50,13 @@
     peers_[number - 1] = MakePeer(number);
   }
 
+  // The fronts restart together, and this one hears no other.
+  Answer SendToLoneFront(const std::string& method) {
+    peers_.push_back(MakePeer(kFronts, /*is_alone=*/true));
+    RunFor(absl::Milliseconds(500));
+    return SendTo(method, peers_.back()->clients);
+  }
+
   void RunFor(absl::Duration duration) {
     absl::Time end = day_.loop.Now() + duration;
     while (day_.loop.Now() < end) {
@@ -63,8 +70,11 @@
   // The caller sends it once more, at one of the fronts.
   Answer Send(const std::string& method, int front) {
     int number = front % kFronts;
-    const std::string& address =
-        number == 0 ? day_.settings.clients : peers_[number - 1]->clients;
+    return SendTo(method, number == 0 ? day_.settings.clients
+                                      : peers_[number - 1]->clients);
+  }
+
+  Answer SendTo(const std::string& method, const std::string& address) {
     std::shared_ptr<Answer> answer =
         day_.Ask(method, target_, address, 1500, kBody);
     absl::Time end = day_.loop.Now() + absl::Seconds(4);
@@ -113,9 +123,10 @@
     std::unique_ptr<FrontDaemon> front;
   };
 
-  std::unique_ptr<Peer> MakePeer(int number) {
+  std::unique_ptr<Peer> MakePeer(int number, bool is_alone = false) {
     FrontSettings settings =
         day_.PeerSettings(absl::StrCat("front-", number + 1), number);
+    if (is_alone) settings.seeds.clear();
     auto peer = std::make_unique<Peer>();
     peer->clients = settings.clients;
     peer->front = std::make_unique<FrontDaemon>(
@@ -228,5 +239,13 @@
   it.CheckStopped("POST");
 }
 
+TEST_CASE("a request that crashes servers is known after all fronts restart",
+          "[front][crash]") {
+  CrashingFleet it("/book/poison", CrashSign::kClosed);
+  it.SendUntil("POST", kToleratedCrashes);
+  CHECK(it.SendToLoneFront("POST").status == 503);
+  CHECK(it.Crashes() == kToleratedCrashes);
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -3,6 +3,7 @@
 #include "platform/protocol.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "absl/strings/escaping.h"
@@ -11,6 +12,8 @@
 namespace chervilwick {
 namespace {
 
+using Json = nlohmann::json;
+
 constexpr char kServer[] =
     R"({"service":"m","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":64,
 "state":"ready","cold_left_ms":0,"stage":"decode","seq":4,"born":1700000000001})";
@@ -103,6 +106,29 @@
   CHECK_FALSE(protocol.ReadWatch(R"({"events":[{}],"current_rev":1})"));
 }
 
+TEST_CASE("broken runs come back as they were recorded", "[platform]") {
+  PlatformProtocol protocol;
+  AttemptId run{Incarnation(0xfedcba9876543210), 7};
+  HttpRequest request =
+      protocol.RecordBrokenRuns({{Fingerprint(~uint64_t{0}), run, {}}}, "5");
+  Json body = Json::parse(request.body);
+  REQUIRE(body["set_keys"].size() == 1);
+  CHECK(body["expected"].empty());
+  const Json& key = body["set_keys"][0];
+  CHECK(key["lease"] == 5);
+  StoreItem item;
+  item.key = key["key"];
+  REQUIRE(absl::Base64Unescape(key["value"].get<std::string>(), &item.value));
+  StoreFact fact = protocol.ReadItem(item);
+  REQUIRE(std::holds_alternative<BrokenRun>(fact));
+  CHECK(std::get<BrokenRun>(fact).fingerprint == Fingerprint(~uint64_t{0}));
+  CHECK(std::get<BrokenRun>(fact).run == run);
+  item.value = "{}";
+  CHECK(std::holds_alternative<MalformedItem>(protocol.ReadItem(item)));
+  item.removed = true;
+  CHECK(std::holds_alternative<UnrelatedItem>(protocol.ReadItem(item)));
+}
+
 TEST_CASE("fields that are the system's to set are never the client's",
           "[platform]") {
   HttpRequest request;
