Tell which engine's stage changes, not only how many do

As one engine's change ended and another's began, the number stayed and the other fronts heard up to 1.2 s later that the second one takes no requests; what they sent there was refused.

The test failed before (the second and third engine were unheard 150 ms later).

--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -117,7 +117,7 @@
   // By server, start and kind.
   using NoticeKey = std::tuple<BackendName, int64_t, BackendNotice::Kind>;
   std::set<NoticeKey> told_;
-  size_t last_sent_changing_ = 0;
+  std::set<BackendName> last_sent_changing_;
   uint64_t last_sent_waiting_ = 0;
   absl::Time last_sent_ = absl::InfinitePast();  // of any kind
   absl::Time last_digest_ = absl::InfinitePast();
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -178,6 +178,13 @@
   return news;
 }
 
+std::set<BackendName> NamesOf(
+    const std::map<BackendName, absl::Duration>& changing) {
+  std::set<BackendName> names;
+  for (const auto& it : changing) names.insert(it.first);
+  return names;
+}
+
 // Kinds that a newer front may know are passed over.
 std::vector<BackendNotice> FromEntries(const List<NoticeEntry>& entries) {
   std::vector<BackendNotice> notices;
@@ -459,7 +466,7 @@
 
 bool PeerLink::IsDigestDue(const PeerDigest& digest, absl::Time now) const {
   // Only digests carry this.
-  if (digest.changing.size() != last_sent_changing_) return true;
+  if (NamesOf(digest.changing) != last_sent_changing_) return true;
   absl::Duration since = now - last_digest_;
   bool is_sought = wants_digest_ || alive_.empty();
   return since >= kDigestInterval || (is_sought && since >= kHeartbeat);
@@ -475,7 +482,7 @@
   wants_digest_ = false;
   last_sent_use_ = digest.use;
   last_sent_waiting_ = digest.waiting_streams;
-  last_sent_changing_ = digest.changing.size();
+  last_sent_changing_ = NamesOf(digest.changing);
   TakeUntold(digest.notices);
   digest.crashes = now < introduction_end_ ? context_.suspects.All(now)
                                            : context_.suspects.Recent(now);
--- a/unittests/front/peers_test.cc
+++ b/unittests/front/peers_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -89,5 +90,41 @@
   std::fclose(log);
 }
 
+// One end of a link between fronts, without the rest of a front.
+struct LinkEnd {
+  LinkEnd(TestDeployment& day, const FrontSettings& settings)
+      : context(day.loop, day.protocol, settings, fileno(log.get())),
+        link(context,
+             {[this] { return digest; },
+              [this](const PeerDigest& it, const Endpoint&) { heard = it; },
+              [](const std::string&) {}}) {
+    digest.sender = settings.name;
+    REQUIRE(link.Start());
+  }
+
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> log{std::tmpfile(),
+                                                      &std::fclose};
+  FrontContext context;
+  PeerDigest digest;  // to be told
+  PeerDigest heard;   // last
+  PeerLink link;
+};
+
+// One engine's change ends as another's begins: the number of them is the same.
+TEST_CASE("each engine whose stage changes is told to the other front at once",
+          "[front]") {
+  TestDeployment day;
+  LinkEnd here(day, day.settings);
+  LinkEnd there(day, day.PeerSettings("front-2"));
+  day.loop.RunFor(absl::Seconds(1));
+  for (const char* name : {"d1", "d2", "d3"}) {
+    BackendName engine(name);
+    here.digest.changing = {{engine, absl::Seconds(1)}};
+    day.loop.RunFor(absl::Milliseconds(150));
+    INFO(name);
+    CHECK(there.heard.changing.count(engine) == 1);
+  }
+}
+
 }  // namespace
 }  // namespace chervilwick
