A full crash ledger of an agent forgets the oldest crash

It makes room for what is newer now. The test fails without the change: the newest request is no suspect, the oldest still is.

--- a/include/chervilwick/ledger/crash_ledger.h
+++ b/include/chervilwick/ledger/crash_ledger.h
@@ -40,6 +40,8 @@
     std::vector<Fingerprint> running;
   };
 
+  // Makes room for a crash at `before`, if there is an older one.
+  bool ForgetOldest(absl::Time before);
   std::vector<const Crash*> CrashesWith(Fingerprint fingerprint) const;
 
   std::map<uint64_t, Crash> crashes_;  // by crash id
--- a/lib/ledger/crash_ledger.cc
+++ b/lib/ledger/crash_ledger.cc
@@ -21,11 +21,21 @@
 
 bool CrashLedger::Add(const CrashReport& report, absl::Time now) {
   absl::Duration age = absl::Milliseconds(report.age_ms);
-  if (age > kRetention || crashes_.size() >= kMaxCrashes) return false;
+  if (age > kRetention || crashes_.count(report.crash_id) != 0) return false;
   Crash crash{now - age, report.running.items};
+  if (crashes_.size() >= kMaxCrashes && !ForgetOldest(crash.at)) return false;
   return crashes_.emplace(report.crash_id, std::move(crash)).second;
 }
 
+bool CrashLedger::ForgetOldest(absl::Time before) {
+  auto oldest = std::min_element(
+      crashes_.begin(), crashes_.end(),
+      [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+  if (oldest->second.at >= before) return false;
+  crashes_.erase(oldest);
+  return true;
+}
+
 void CrashLedger::Exonerate(Fingerprint fingerprint) {
   for (auto& [id, crash] : crashes_) {
     auto& running = crash.running;
--- a/unittests/ledger/ledger_test.cc
+++ b/unittests/ledger/ledger_test.cc
@@ -92,6 +92,21 @@
   CHECK_FALSE(ledger.IsQuarantined(Fingerprint(11)));
 }
 
+TEST_CASE("a full ledger forgets the oldest crash, not the newest",
+          "[ledger]") {
+  CrashLedger ledger;
+  uint64_t id = 0;
+  absl::Time now = kStart;
+  while (ledger.size() == id && id < 100000) {
+    ++id;
+    now += absl::Milliseconds(1);
+    ledger.Add(Crash(id, {1000 + id}), now);
+  }
+  REQUIRE(ledger.size() < id);
+  CHECK(ledger.IsSuspect(Fingerprint(1000 + id)));
+  CHECK_FALSE(ledger.IsSuspect(Fingerprint(1001)));
+}
+
 Claim MakeClaim(uint64_t sequence) {
   Claim claim;
   claim.attempt = {Incarnation(1), sequence};
