Count the servers that ended under a request, not the copies that ran there

Cause: a broken run had an id of its own, so that the size of the set was the number of runs. The promise is about servers that ended.

Change: the id is the server's end: a hash of its name and start, and a number for ends whose new start was not known yet. Closed connections within a second are one end; a silent run is of any end since it was sent. Fronts that see the same end name it alike, so that merging counts it once. Tried first: one window of 4 s for all signs; a server that was back and ended again within it was not counted, 6 ended in place of 3 (test).

Also: a closed connection that waits to be decided counts until then, not up to 100 ms less. Tests: copies, other signs of one end, a server that ends again; the tests over four fronts use servers that end where they used lost answers, and repeat each second, which is longer than deciding and telling takes (within that time a further server may end, as the bound allows).

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -16,11 +18,25 @@
 
 namespace chervilwick {
 
+// One end of a backend server, under one request: the same id for all copies of
+// the request that ran there, whichever fronts sent them.
+struct ServerEndId {
+  uint64_t server = 0;  // hash of its name and start
+  uint64_t number = 0;  // ends before, if its new start was not known
+
+  friend bool operator==(const ServerEndId& a, const ServerEndId& b) {
+    return a.server == b.server && a.number == b.number;
+  }
+  friend bool operator<(const ServerEndId& a, const ServerEndId& b) {
+    return std::tie(a.server, a.number) < std::tie(b.server, b.number);
+  }
+};
+
 // A run that its server did not survive. Fronts tell each other of it many
-// times; by its id it counts once.
+// times; by the server's end it counts once.
 struct BrokenRun {
   Fingerprint fingerprint;
-  AttemptId run;
+  ServerEndId end;
   absl::Duration age;
 };
 
@@ -41,25 +57,23 @@
 struct LostRun {
   Fingerprint fingerprint;
   BackendName backend;
+  int64_t born_unix_ms = 0;  // the start of it that was meant
   absl::Time sent;
   // The server closed the connection under it, as one that ends does.
   // Otherwise nothing more was heard, or waited for.
   bool is_closed = false;
 };
 
-// Counts, by what makes two requests the same work, the runs that ended with
-// the server breaking off. The client sends such a request again, at any front,
-// so that each front may see one end alone: a front keeps the set of all
-// broken runs that it has seen or heard of, and the size of the set is the
-// count. Sets are merged, in any order and any number of times.
+// Counts, by what makes two requests the same work, the servers that ended
+// under it. The client sends such a request again, at any front, so that each
+// front may see one end alone: a front keeps the set of all ends that it has
+// seen or heard of, and the size of the set is the count. Sets are merged, in
+// any order and any number of times.
 class CrashSuspects {
  public:
   // Breaks after which a request is not run again.
   static constexpr uint32_t kQuarantineBreaks = 3;
 
-  // `front`: drawn anew at each start of the process.
-  explicit CrashSuspects(Incarnation front) : front_(front) {}
-
   // Called with each break that this front adds.
   using CountedHandler =
       std::function<void(Fingerprint, const BackendName&, absl::Time)>;
@@ -110,28 +124,30 @@
 
  private:
   struct Entry {
-    std::map<AttemptId, absl::Time> breaks;
+    std::map<ServerEndId, absl::Time> breaks;
     absl::Time exonerated = absl::InfinitePast();
 
+    // The end of a run's server about that time; none if it is known already.
+    std::optional<ServerEndId> NewEnd(const LostRun& run,
+                                      absl::Time ended) const;
     absl::Time LastChange() const;
     absl::Time QuarantineEnd() const;
     // When it no longer tells anything.
     absl::Time Expiry() const;
   };
   using EntryMap = std::map<Fingerprint, Entry>;
-  using Filter = absl::FunctionRef<bool(const Entry&, const AttemptId& run,
-                                        absl::Time at)>;
+  using BreakId = std::pair<Fingerprint, ServerEndId>;
+  using Filter =
+      absl::FunctionRef<bool(const BreakId&, const Entry&, absl::Time at)>;
 
   // Not known yet to have ended with its server.
   struct OpenRun {
-    BackendName backend;
+    LostRun run;
     absl::Time lost;
-    bool is_closed = false;
   };
 
-  // Of a run that was lost at that time.
-  void Count(Fingerprint fingerprint, const BackendName& backend,
-             absl::Time lost, absl::Time now);
+  // The server of that run ended at that time, or a little before.
+  void Count(const LostRun& run, absl::Time ended, absl::Time now);
   // The entry of a fingerprint, made if there is none.
   Entry& EntryOf(Fingerprint fingerprint, absl::Time now);
   // Forgets those that tell least: of few breaks, and old.
@@ -139,16 +155,14 @@
   CrashNews Select(Filter is_told, absl::Time exonerated_since,
                    absl::Time now) const;
 
-  Incarnation front_;
-  uint64_t sequence_ = 0;
   CountedHandler on_counted_;
   EntryMap entries_;
   std::multimap<Fingerprint, OpenRun> open_runs_;
   std::map<BackendName, absl::Time> server_ends_;
-  std::vector<std::pair<Fingerprint, AttemptId>> untold_breaks_;
+  std::vector<BreakId> untold_breaks_;
   std::vector<Fingerprint> untold_exonerations_;
-  // By this front, while they are kept.
-  std::map<AttemptId, Fingerprint> unrecorded_;
+  // Seen by this front itself, while they are kept, and whether recorded.
+  std::map<BreakId, bool> own_;
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -190,6 +190,7 @@
   bool holds_decode_place_ = false;
   std::optional<absl::Time> handle_made_;
   absl::Time step_started_;
+  int64_t step_born_ = 0;  // start of the engine that is called
   absl::Time last_event_;  // or the head of the answer
   std::set<BackendName> excluded_;
   uint32_t arrivals_ = 0;       // sends that the retry budget counts
--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -31,6 +31,7 @@
   struct Attempt {
     CallId call;
     BackendName backend;
+    int64_t born_unix_ms = 0;  // of the server
     absl::Time sent;
     HttpHead head;
     std::string body;
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "chervilwick/support/hash.h"
 
 namespace chervilwick {
 namespace {
@@ -31,12 +35,21 @@
 // A server that is heard within that time after it closed a connection lives;
 // one that ended is back after seconds.
 constexpr absl::Duration kSettleTime = absl::Milliseconds(500);
+// Longest time between two calls that decide.
+constexpr absl::Duration kTick = absl::Milliseconds(100);
+// Closed connections of one end are seen within that time; the server is back
+// after seconds.
+constexpr absl::Duration kSameEnd = absl::Seconds(1);
 // What it sent before may still be on its way.
 constexpr absl::Duration kInFlightTime = absl::Milliseconds(150);
 // Of one datagram.
 constexpr size_t kMaxToldRuns = 256;
 constexpr size_t kMaxToldExonerations = 64;
 
+uint64_t HashOfServer(const LostRun& run) {
+  return StableHash(absl::StrCat(run.backend.value(), "/", run.born_unix_ms));
+}
+
 }  // namespace
 
 absl::Time CrashSuspects::Entry::LastChange() const {
@@ -83,30 +96,44 @@
   for (auto it = order.begin(); it != middle; ++it) entries_.erase(*it);
 }
 
-void CrashSuspects::Count(Fingerprint fingerprint, const BackendName& backend,
-                          absl::Time lost, absl::Time now) {
-  AttemptId run{front_, ++sequence_};
-  Entry& entry = EntryOf(fingerprint, now);
-  if (lost <= entry.exonerated) return;
+std::optional<ServerEndId> CrashSuspects::Entry::NewEnd(
+    const LostRun& run, absl::Time ended) const {
+  ServerEndId end{HashOfServer(run), 0};
+  // A silent run says only that its server ended since it was sent.
+  absl::Time first = (run.is_closed ? ended : run.sent) - kSameEnd;
+  absl::Time last = ended + kSameEnd;
+  for (const auto& it : breaks) {
+    if (it.first.server != end.server) continue;
+    if (first < it.second && it.second < last) return std::nullopt;
+    end.number = std::max(end.number, it.first.number + 1);
+  }
+  return end;
+}
+
+void CrashSuspects::Count(const LostRun& run, absl::Time ended,
+                          absl::Time now) {
+  Entry& entry = EntryOf(run.fingerprint, now);
+  if (ended <= entry.exonerated) return;
+  std::optional<ServerEndId> end = entry.NewEnd(run, ended);
+  if (!end) return;
   if (entry.breaks.size() >= kMaxBreaks) {
     // As many again: only the last one's time matters.
     entry.breaks.erase(std::min_element(
         entry.breaks.begin(), entry.breaks.end(),
         [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
-  entry.breaks[run] = lost;
-  untold_breaks_.emplace_back(fingerprint, run);
-  unrecorded_[run] = fingerprint;
-  if (on_counted_) on_counted_(fingerprint, backend, now);
+  entry.breaks[*end] = ended;
+  untold_breaks_.emplace_back(run.fingerprint, *end);
+  own_[{run.fingerprint, *end}] = false;
+  if (on_counted_) on_counted_(run.fingerprint, run.backend, now);
 }
 
 void CrashSuspects::ReportLost(const LostRun& run, absl::Time now) {
   auto end = server_ends_.find(run.backend);
   if (end != server_ends_.end() && run.sent <= end->second) {
-    Count(run.fingerprint, run.backend, now, now);
+    Count(run, end->second, now);
   } else if (open_runs_.size() < kMaxEntries) {
-    open_runs_.emplace(run.fingerprint,
-                       OpenRun{run.backend, now, run.is_closed});
+    open_runs_.emplace(run.fingerprint, OpenRun{run, now});
   }
 }
 
@@ -114,23 +141,24 @@
                                     absl::Time now) {
   server_ends_[backend] = now;
   for (auto it = open_runs_.begin(); it != open_runs_.end();) {
-    const OpenRun& run = it->second;
-    if (run.backend != backend) {
+    const OpenRun& open = it->second;
+    if (open.run.backend != backend) {
       ++it;
       continue;
     }
-    if (now - run.lost <= kEndNotice) Count(it->first, backend, run.lost, now);
+    bool is_recent = now - open.lost <= kEndNotice;
+    if (is_recent) Count(open.run, open.run.is_closed ? open.lost : now, now);
     it = open_runs_.erase(it);
   }
 }
 
 void CrashSuspects::Settle(LastHeard last_heard, absl::Time now) {
   for (auto it = open_runs_.begin(); it != open_runs_.end();) {
-    const OpenRun& run = it->second;
-    bool is_due = run.is_closed && now - run.lost >= kSettleTime;
-    bool is_over = now - run.lost > kEndNotice;
-    if (is_due && last_heard(run.backend) < run.lost + kInFlightTime) {
-      Count(it->first, run.backend, run.lost, now);
+    const OpenRun& open = it->second;
+    bool is_due = open.run.is_closed && now - open.lost >= kSettleTime;
+    bool is_over = now - open.lost > kEndNotice;
+    if (is_due && last_heard(open.run.backend) < open.lost + kInFlightTime) {
+      Count(open.run, open.lost, now);
     }
     it = is_due || is_over ? open_runs_.erase(it) : std::next(it);
   }
@@ -164,7 +192,7 @@
     Entry& entry = EntryOf(it.fingerprint, now);
     if (at <= entry.exonerated) continue;
     if (entry.breaks.size() >= kMaxBreaks) continue;
-    if (!entry.breaks.emplace(it.run, at).second) continue;
+    if (!entry.breaks.emplace(it.end, at).second) continue;
     grown.push_back(it.fingerprint);
   }
   return grown;
@@ -177,13 +205,18 @@
       it == entries_.end() ? absl::InfinitePast() : it->second.QuarantineEnd();
   // Until it is decided, a closed connection counts here.
   auto [first, last] = open_runs_.equal_range(fingerprint);
-  size_t breaks = Breaks(fingerprint);
+  std::set<uint64_t> servers;
   absl::Time settled = absl::InfinitePast();
-  for (auto run = first; run != last; ++run) {
-    if (!run->second.is_closed) continue;
-    ++breaks;
-    settled = std::max(settled, run->second.lost + kSettleTime);
+  for (auto open = first; open != last; ++open) {
+    const LostRun& run = open->second.run;
+    absl::Time lost = open->second.lost;
+    if (!run.is_closed) continue;
+    if (it != entries_.end() && !it->second.NewEnd(run, lost)) continue;
+    servers.insert(HashOfServer(run));
+    // It may be decided a little late.
+    settled = std::max({settled, lost + kSettleTime, now + kTick});
   }
+  size_t breaks = Breaks(fingerprint) + servers.size();
   if (breaks >= kQuarantineBreaks) end = std::max(end, settled);
   return std::max(absl::ZeroDuration(), end - now);
 }
@@ -230,7 +263,7 @@
     }
     for (const auto& run : entry.breaks) {
       if (news.broken.size() == kMaxToldRuns) break;
-      if (!is_told(entry, run.first, run.second)) continue;
+      if (!is_told({it->first, run.first}, entry, run.second)) continue;
       news.broken.push_back({it->first, run.first, now - run.second});
     }
   }
@@ -238,34 +271,37 @@
 }
 
 CrashNews CrashSuspects::Recent(absl::Time now) const {
-  auto is_told = [&](const Entry& entry, const AttemptId& run, absl::Time at) {
-    bool is_own = run.entry == front_ && now - at <= kRepeatTime;
+  auto is_told = [&](const BreakId& id, const Entry& entry, absl::Time at) {
+    bool is_own = own_.count(id) != 0 && now - at <= kRepeatTime;
     return is_own || entry.breaks.size() >= kNotableBreaks;
   };
   return Select(is_told, now - kRepeatTime, now);
 }
 
 CrashNews CrashSuspects::All(absl::Time now) const {
-  auto is_told = [](const Entry& /*entry*/, const AttemptId& /*run*/,
+  auto is_told = [](const BreakId& /*id*/, const Entry& /*entry*/,
                     absl::Time /*at*/) { return true; };
   return Select(is_told, now - kLongestMemory, now);
 }
 
 std::vector<BrokenRun> CrashSuspects::Unrecorded(absl::Time now) const {
   std::vector<BrokenRun> runs;
-  for (const auto& it : unrecorded_) {
-    auto entry = entries_.find(it.second);
-    if (entry == entries_.end()) continue;
-    auto run = entry->second.breaks.find(it.first);
+  for (const auto& it : own_) {
+    auto entry = entries_.find(it.first.first);
+    if (it.second || entry == entries_.end()) continue;
+    auto found = entry->second.breaks.find(it.first.second);
     bool is_notable = entry->second.breaks.size() >= kNotableBreaks;
-    if (!is_notable || run == entry->second.breaks.end()) continue;
-    runs.push_back({it.second, it.first, now - run->second});
+    if (!is_notable || found == entry->second.breaks.end()) continue;
+    runs.push_back({it.first.first, it.first.second, now - found->second});
   }
   return runs;
 }
 
 void CrashSuspects::MarkRecorded(const std::vector<BrokenRun>& runs) {
-  for (const BrokenRun& it : runs) unrecorded_.erase(it.run);
+  for (const BrokenRun& it : runs) {
+    auto own = own_.find({it.fingerprint, it.end});
+    if (own != own_.end()) own->second = true;
+  }
 }
 
 void CrashSuspects::Prune(absl::Time now) {
@@ -273,9 +309,9 @@
     bool is_over = it->second.Expiry() < now;
     it = is_over ? entries_.erase(it) : std::next(it);
   }
-  for (auto it = unrecorded_.begin(); it != unrecorded_.end();) {
-    it =
-        entries_.count(it->second) == 0 ? unrecorded_.erase(it) : std::next(it);
+  for (auto it = own_.begin(); it != own_.end();) {
+    bool is_over = entries_.count(it->first.first) == 0;
+    it = is_over ? own_.erase(it) : std::next(it);
   }
   for (auto it = server_ends_.begin(); it != server_ends_.end();) {
     bool is_over = now - it->second > kRetention;
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -180,6 +180,8 @@
   if (prompt_sends_ > 0) ++arrivals_;
   phase_ = Phase::kPrompt;
   ++prompt_sends_;
+  const BackendState* prefill = services_.backends.Find(*placement_->prefill);
+  step_born_ = prefill == nullptr ? 0 : prefill->record.born_unix_ms;
   port_.SendPrompt(
       *placement_->prefill,
       placement_->prefill_estimate * kPromptPatience + kPromptMargin);
@@ -249,6 +251,7 @@
   ++decode_sends_;
   ++runs_;
   step_started_ = now;
+  step_born_ = decode->record.born_unix_ms;
   port_.SendDecode(placement_->decode, HasFreshHandle(now));
 }
 
@@ -337,7 +340,7 @@
 void StreamLifecycle::ReportLost(const BackendName& engine, bool is_closed,
                                  absl::Time now) {
   services_.suspects.ReportLost(
-      {terms_.fingerprint, engine, step_started_, is_closed}, now);
+      {terms_.fingerprint, engine, step_born_, step_started_, is_closed}, now);
 }
 
 void StreamLifecycle::ReportUnreachable(const BackendName& engine,
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -4,7 +4,6 @@
 
 #include <utility>
 
-#include "chervilwick/support/hash.h"
 #include "chervilwick/support/overloaded.h"
 #include "client_watch.h"
 
@@ -232,8 +231,7 @@
       options_(options),
       scheduler_(backends_, ZoneName("a"), options.scheduler),
       random_(options.seed),
-      repeats_(queue, options),
-      suspects_(Incarnation(StableHash(name_))) {
+      repeats_(queue, options) {
   ServiceTraits traits;
   traits.engine = EngineTraits();
   traits.engine->slots = options.engine.slots;
--- a/lib/front/front_context.cc
+++ b/lib/front/front_context.cc
@@ -5,7 +5,6 @@
 #include <ctime>
 
 #include "absl/strings/str_cat.h"
-#include "chervilwick/support/random_seed.h"
 
 namespace chervilwick {
 namespace {
@@ -35,7 +34,6 @@
                 StreamSchedulerOptions()),
       quota({front_settings.retry_ratio, front_settings.retry_slack,
              front_settings.retry_window}),
-      suspects(Incarnation(DrawNonZero())),
       boot_time(BootTime) {}
 
 void FrontContext::NoteAnswer(const BackendName& backend,
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -54,13 +54,13 @@
 
 struct BrokenRunEntry {
   uint64_t fingerprint = 0;
-  uint64_t front = 0;
-  uint64_t sequence = 0;
+  uint64_t server = 0;
+  uint64_t number = 0;
   uint32_t age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(fingerprint, front, sequence, age_ms);
+    archive(fingerprint, server, number, age_ms);
   }
 };
 
@@ -153,9 +153,8 @@
 CrashEntries ToEntries(const CrashNews& news) {
   CrashEntries entries;
   for (const BrokenRun& it : news.broken) {
-    entries.broken.items.push_back({it.fingerprint.value(),
-                                    it.run.entry.value(), it.run.sequence,
-                                    ToMilliseconds(it.age)});
+    entries.broken.items.push_back({it.fingerprint.value(), it.end.server,
+                                    it.end.number, ToMilliseconds(it.age)});
   }
   for (const Exoneration& it : news.exonerations) {
     entries.exonerations.items.push_back(
@@ -168,7 +167,7 @@
   CrashNews news;
   for (const BrokenRunEntry& it : entries.broken.items) {
     news.broken.push_back({Fingerprint(it.fingerprint),
-                           {Incarnation(it.front), it.sequence},
+                           {it.server, it.number},
                            absl::Milliseconds(it.age_ms)});
   }
   for (const ExonerationEntry& it : entries.exonerations.items) {
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -99,6 +99,7 @@
   options.max_body_bytes = kMaxAnswerBytes;
   Attempt& attempt = attempts_[number];
   attempt.backend = backend->record.id;
+  attempt.born_unix_ms = backend->record.born_unix_ms;
   attempt.sent = Now();
   tried_.insert(attempt.backend);
   backend->own += {1, 0, 0};
@@ -175,9 +176,9 @@
 void PlainRelay::ReportLost(const Attempt& attempt, absl::string_view sign,
                             bool is_closed) {
   LogLostRun(attempt.backend.value(), sign);
-  context().suspects.ReportLost(
-      {admitted().fingerprint, attempt.backend, attempt.sent, is_closed},
-      Now());
+  context().suspects.ReportLost({admitted().fingerprint, attempt.backend,
+                                 attempt.born_unix_ms, attempt.sent, is_closed},
+                                Now());
 }
 
 void PlainRelay::ReportUnreachable(const BackendName& backend) {
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -123,8 +123,11 @@
      "if (breaks.size() < kQuarantineBreaks) return absl::InfinitePast();",
      "if (breaks.size() <= kQuarantineBreaks) return absl::InfinitePast();", "dispatch"),
     ("ends that several fronts saw are not added up", "lib/dispatch/crash_suspects.cc",
-     "if (!entry.breaks.emplace(it.run, at).second) continue;",
-     "if (!entry.breaks.empty()) continue;\n    entry.breaks.emplace(it.run, at);",
+     "if (!entry.breaks.emplace(it.end, at).second) continue;",
+     "if (!entry.breaks.empty()) continue;\n    entry.breaks.emplace(it.end, at);",
+     "dispatch"),
+    ("each copy at an ended server counts", "lib/dispatch/crash_suspects.cc",
+     "if (first < it.second && it.second < last) return std::nullopt;", "",
      "dispatch"),
     ("silent runs never count", "lib/dispatch/crash_suspects.cc",
      "if (now - run.lost <= kEndNotice) Count", "if (now < run.lost) Count", "dispatch"),
@@ -223,7 +226,7 @@
         env = dict(os.environ, RC_PARAMS=FUZZ)
         try:
             done = run([os.path.join(copy, "build", "unittests", f"{program}_test")], env=env,
-                       timeout=240)
+                       timeout=600)
         except subprocess.TimeoutExpired:
             return ""  # shrinking a failing case takes long; a pass does not
         return "" if done.returncode != 0 else "not noticed"
