--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -43,7 +43,8 @@
   absl::Time suspect_until = absl::InfinitePast();
   // The same by the word of another front.
   absl::Time hearsay_until = absl::InfinitePast();
-  // Last sign of life, here: bytes of a request that went on.
+  // Last sign of life, here: the head of an answer, or bytes of one that went
+  // on.
   absl::Time alive_at = absl::InfinitePast();
   // This front found out by itself that it can't be reached.
   absl::Time found_unreachable = absl::InfinitePast();
