--- /dev/null
+++ b/lib/front/peer_messages.cc
@@ -0,0 +1,250 @@
+// Bytes of what fronts tell each other.
+
+#include "chervilwick/front/peer_messages.h"
+
+#include <utility>
+
+#include "chervilwick/wire/archive.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr uint32_t kDigestMagic = 0x63776b35;
+constexpr uint32_t kUpdateMagic = 0x63776b36;
+
+struct UseEntry {
+  std::string backend;
+  int32_t requests = 0;
+  int32_t memory_tokens = 0;
+  int32_t prompt_tokens = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(backend, requests, memory_tokens, prompt_tokens);
+  }
+};
+
+struct BrokenRunEntry {
+  uint64_t fingerprint = 0;
+  uint64_t server = 0;
+  uint64_t number = 0;
+  uint32_t age_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(fingerprint, server, number, age_ms);
+  }
+};
+
+struct ExonerationEntry {
+  uint64_t fingerprint = 0;
+  uint32_t age_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(fingerprint, age_ms);
+  }
+};
+
+struct CrashEntries {
+  List<BrokenRunEntry> broken;
+  List<ExonerationEntry> exonerations;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(broken, exonerations);
+  }
+};
+
+struct ChangeEntry {
+  std::string backend;
+  uint32_t left_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(backend, left_ms);
+  }
+};
+
+struct NoticeEntry {
+  std::string backend;
+  int64_t born_unix_ms = 0;
+  uint8_t kind = 0;
+  uint32_t left_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(backend, born_unix_ms, kind, left_ms);
+  }
+};
+
+struct PeerEntry {
+  uint32_t ip = 0;
+  uint16_t port = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(ip, port);
+  }
+};
+
+List<UseEntry> ToEntries(const std::map<BackendName, BackendUse>& use) {
+  List<UseEntry> entries;
+  for (const auto& it : use) {
+    entries.items.push_back({it.first.value(),
+                             static_cast<int32_t>(it.second.requests),
+                             static_cast<int32_t>(it.second.memory_tokens),
+                             static_cast<int32_t>(it.second.prompt_tokens)});
+  }
+  return entries;
+}
+
+std::map<BackendName, BackendUse> FromEntries(const List<UseEntry>& entries) {
+  std::map<BackendName, BackendUse> use;
+  for (const UseEntry& it : entries.items) {
+    use[BackendName(it.backend)] = {it.requests, it.memory_tokens,
+                                    it.prompt_tokens};
+  }
+  return use;
+}
+
+List<NoticeEntry> ToEntries(const std::vector<BackendNotice>& notices) {
+  List<NoticeEntry> entries;
+  for (const BackendNotice& it : notices) {
+    entries.items.push_back(
+        {it.backend.value(), it.born_unix_ms, static_cast<uint8_t>(it.kind),
+         static_cast<uint32_t>(absl::ToInt64Milliseconds(it.left))});
+  }
+  return entries;
+}
+
+uint32_t ToMilliseconds(absl::Duration age) {
+  return static_cast<uint32_t>(absl::ToInt64Milliseconds(age));
+}
+
+CrashEntries ToEntries(const CrashNews& news) {
+  CrashEntries entries;
+  for (const BrokenRun& it : news.broken) {
+    entries.broken.items.push_back({it.fingerprint.value(), it.end.server,
+                                    it.end.number, ToMilliseconds(it.age)});
+  }
+  for (const Exoneration& it : news.exonerations) {
+    entries.exonerations.items.push_back(
+        {it.fingerprint.value(), ToMilliseconds(it.age)});
+  }
+  return entries;
+}
+
+CrashNews FromEntries(const CrashEntries& entries) {
+  CrashNews news;
+  for (const BrokenRunEntry& it : entries.broken.items) {
+    news.broken.push_back({Fingerprint(it.fingerprint),
+                           {it.server, it.number},
+                           absl::Milliseconds(it.age_ms)});
+  }
+  for (const ExonerationEntry& it : entries.exonerations.items) {
+    news.exonerations.push_back(
+        {Fingerprint(it.fingerprint), absl::Milliseconds(it.age_ms)});
+  }
+  return news;
+}
+
+// Kinds that a newer front may know are passed over.
+std::vector<BackendNotice> FromEntries(const List<NoticeEntry>& entries) {
+  std::vector<BackendNotice> notices;
+  for (const NoticeEntry& it : entries.items) {
+    if (it.kind > static_cast<uint8_t>(BackendNotice::kLastKind)) continue;
+    notices.push_back({BackendName(it.backend), it.born_unix_ms,
+                       static_cast<BackendNotice::Kind>(it.kind),
+                       absl::Milliseconds(it.left_ms)});
+  }
+  return notices;
+}
+
+}  // namespace
+
+std::string EncodeDigest(const PeerDigest& digest) {
+  List<UseEntry> use = ToEntries(digest.use);
+  List<ChangeEntry> changing;
+  for (const auto& it : digest.changing) {
+    changing.items.push_back(
+        {it.first.value(),
+         static_cast<uint32_t>(absl::ToInt64Milliseconds(it.second))});
+  }
+  List<PeerEntry> peers;
+  for (const Endpoint& it : digest.peers) {
+    peers.items.push_back({it.ip, it.port});
+  }
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(kDigestMagic, digest.sender, digest.incarnation, digest.sequence,
+         digest.store_revision, digest.waiting_streams, use,
+         ToEntries(digest.crashes), changing, ToEntries(digest.notices), peers);
+  return bytes;
+}
+
+std::optional<PeerDigest> DecodeDigest(absl::string_view bytes) {
+  uint32_t magic = 0;
+  PeerDigest digest;
+  List<UseEntry> use;
+  CrashEntries crashes;
+  List<ChangeEntry> changing;
+  List<NoticeEntry> notices;
+  List<PeerEntry> peers;
+  try {
+    BinaryReader reader({bytes.data(), bytes.size()});
+    reader(magic);
+    if (magic != kDigestMagic) return std::nullopt;
+    reader(digest.sender, digest.incarnation, digest.sequence,
+           digest.store_revision, digest.waiting_streams, use, crashes,
+           changing, notices, peers);
+    if (reader.Remaining() != 0) return std::nullopt;
+  } catch (const cereal::Exception&) {
+    // The caller counts it.
+    return std::nullopt;
+  }
+  digest.use = FromEntries(use);
+  digest.crashes = FromEntries(crashes);
+  for (const ChangeEntry& it : changing.items) {
+    digest.changing[BackendName(it.backend)] = absl::Milliseconds(it.left_ms);
+  }
+  digest.notices = FromEntries(notices);
+  for (const PeerEntry& it : peers.items) {
+    digest.peers.push_back({it.ip, it.port});
+  }
+  return digest;
+}
+
+std::string EncodeUpdate(const PeerUseUpdate& update) {
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(kUpdateMagic, update.incarnation, update.sequence,
+         update.waiting_streams, ToEntries(update.use),
+         ToEntries(update.notices), ToEntries(update.crashes));
+  return bytes;
+}
+
+std::optional<PeerUseUpdate> DecodeUpdate(absl::string_view bytes) {
+  uint32_t magic = 0;
+  PeerUseUpdate update;
+  List<UseEntry> use;
+  List<NoticeEntry> notices;
+  CrashEntries crashes;
+  try {
+    BinaryReader reader({bytes.data(), bytes.size()});
+    reader(magic);
+    if (magic != kUpdateMagic) return std::nullopt;
+    reader(update.incarnation, update.sequence, update.waiting_streams, use,
+           notices, crashes);
+    if (reader.Remaining() != 0) return std::nullopt;
+  } catch (const cereal::Exception&) {
+    // The caller counts it.
+    return std::nullopt;
+  }
+  update.use = FromEntries(use);
+  update.notices = FromEntries(notices);
+  update.crashes = FromEntries(crashes);
+  return update;
+}
+
+}  // namespace chervilwick
