Digests stay short, so that all fronts know each other after a power loss

Change: at most 24 ends a datagram, those of most breaks first, and fronts repeat each other's ends only of requests in quarantine.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -109,7 +109,8 @@
   // What this front has seen since the last call.
   CrashNews TakeUntold(absl::Time now);
   // What makes good news that were lost: this front's of the last seconds, and
-  // all of fingerprints with several breaks, whoever saw them.
+  // all of fingerprints in quarantine, whoever saw them. As much as a datagram
+  // takes, most breaks first.
   CrashNews Recent(absl::Time now) const;
   // All that is known, for a front that has just been found.
   CrashNews All(absl::Time now) const;
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -27,7 +27,7 @@
 constexpr size_t kForgottenPart = 4;
 // A few whole digests of a front, any of which may be lost.
 constexpr absl::Duration kRepeatTime = absl::Seconds(5);
-// Breaks from which on every front repeats what any of them saw.
+// Breaks from which on a front wants its own kept outside of the fronts.
 constexpr size_t kNotableBreaks = 2;
 // A server's end is known that much later: its entry lapses after three missed
 // reports, and the store tells changes with a delay.
@@ -42,9 +42,10 @@
 constexpr absl::Duration kSameEnd = absl::Seconds(1);
 // What it sent before may still be on its way.
 constexpr absl::Duration kInFlightTime = absl::Milliseconds(150);
-// Of one datagram.
-constexpr size_t kMaxToldRuns = 256;
-constexpr size_t kMaxToldExonerations = 64;
+// Of one datagram, which is not to be much longer than without them: the
+// datagrams of a large fleet arrive together, and long ones are lost.
+constexpr size_t kMaxToldRuns = 24;
+constexpr size_t kMaxToldExonerations = 8;
 
 uint64_t HashOfServer(const LostRun& run) {
   return StableHash(absl::StrCat(run.backend.value(), "/", run.born_unix_ms));
@@ -273,7 +274,7 @@
 CrashNews CrashSuspects::Recent(absl::Time now) const {
   auto is_told = [&](const BreakId& id, const Entry& entry, absl::Time at) {
     bool is_own = own_.count(id) != 0 && now - at <= kRepeatTime;
-    return is_own || entry.breaks.size() >= kNotableBreaks;
+    return is_own || entry.breaks.size() >= kQuarantineBreaks;
   };
   return Select(is_told, now - kRepeatTime, now);
 }
