Tests: a front that does not start says why

KNOWN-RED lists a front whose start failed in a test, seen once; the text of its error was not printed, so that the case could not be traced.

--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <sstream>
 
 #include "absl/strings/str_cat.h"
@@ -71,7 +72,9 @@
   log = std::tmpfile();
   front = std::make_unique<FrontDaemon>(loop, settings, settings_file, protocol,
                                         fileno(log));
-  REQUIRE_FALSE(front->Start().has_value());
+  std::optional<std::string> problem = front->Start();
+  INFO(problem.value_or(""));
+  REQUIRE_FALSE(problem.has_value());
   loop.RunFor(absl::Milliseconds(150));
 }
 
