Log and count the times that a front's process did not run

Periodic tasks that run 200 ms late, as long as a new connection to a server may take, write process_stalled with late_ms; the counter front_process_stalls_total goes with it, and the timeline lists it.

--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -70,6 +70,9 @@
   // store.
   void MergeCrashNews(const CrashUpdate& news, const std::string& source);
   void RunPeriodicTasks();
+  // Logs that the process did not run for some time: it was stopped, or its
+  // host had no processor time for it.
+  void RecordStall(absl::Time now);
   // Ends quarantined streams. The relay ends only those that wait for
   // placement; running ones were sent already.
   void EndQuarantinedStreams(absl::Time now);
@@ -104,6 +107,7 @@
   bool stopping_ = false;
   bool was_ready_ = false;
   absl::Time stop_began_;
+  absl::Time last_periodic_ = absl::InfiniteFuture();
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -47,6 +47,7 @@
   uint64_t mismatched_answers = 0;
   uint64_t quarantined = 0;
   uint64_t malformed_items = 0;
+  uint64_t stalls = 0;  // times that the process did not run
   std::map<std::string, uint64_t> store_calls;  // by outcome
   uint64_t peer_datagrams_in = 0;
   uint64_t peer_datagrams_bad = 0;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr absl::Duration kPeriodicTaskInterval = absl::Milliseconds(100);
+// Lateness of the periodic tasks from which it is logged that the process stood
+// still: longer than a new connection to a server may take.
+constexpr absl::Duration kStallThreshold = absl::Milliseconds(200);
 constexpr absl::Duration kSettingsCheckInterval = absl::Seconds(1);
 constexpr absl::Duration kLogFlushInterval = absl::Milliseconds(100);
 // Repeats the time of day, so that log lines can still be dated if the start of
@@ -321,8 +324,17 @@
   }
 }
 
+void FrontDaemon::RecordStall(absl::Time now) {
+  absl::Duration late = now - last_periodic_ - kPeriodicTaskInterval;
+  last_periodic_ = now;
+  if (late < kStallThreshold) return;
+  ++context_.stats.stalls;
+  context_.log.Write(now, "process_stalled", {{"late_ms", late}});
+}
+
 void FrontDaemon::RunPeriodicTasks() {
   absl::Time now = loop_.Now();
+  RecordStall(now);
   for (const BackendName& it : context_.backends.RemoveExpired(now)) {
     context_.log.Write(now, "backend",
                        {{"backend", it.value()},
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -129,6 +129,8 @@
         stats.quarantined);
   count("front_store_items_malformed_total", "Store items that name nothing.",
         stats.malformed_items);
+  count("front_process_stalls_total", "Times that the process stood still.",
+        stats.stalls);
   count("front_peer_datagrams_bad_total", "Datagrams that were no digest.",
         stats.peer_datagrams_bad);
 }
--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -27,19 +27,12 @@
 };
 
 // Events that change what a process depends on or believes of itself.
-constexpr std::array<absl::string_view, 13> kChanges = {"start",
-                                                        "stopping",
-                                                        "stop",
-                                                        "reload",
-                                                        "reload_failed",
-                                                        "store_lost",
-                                                        "store_regained",
-                                                        "store_history_gone",
-                                                        "peer_lost",
-                                                        "stage_duty",
-                                                        "stage_order",
-                                                        "readiness",
-                                                        "log_lines_dropped"};
+constexpr std::array<absl::string_view, 14> kChanges = {
+    "start",           "stopping",           "stop",
+    "reload",          "reload_failed",      "store_lost",
+    "store_regained",  "store_history_gone", "peer_lost",
+    "stage_duty",      "stage_order",        "readiness",
+    "process_stalled", "log_lines_dropped"};
 // Events of one backend server that are told apart by it: trouble at one looks
 // unlike trouble at all.
 constexpr std::array<absl::string_view, 8> kTroubles = {
--- a/unittests/front/reports_test.cc
+++ b/unittests/front/reports_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "chervilwick/telemetry/status_table.h"
 #include "deployment.h"
 
@@ -91,6 +92,21 @@
   CHECK(text.find("process_start_time_seconds") != std::string::npos);
 }
 
+TEST_CASE("a front that stood still says so in its log and metrics",
+          "[front]") {
+  TestDeployment it;
+  it.Start();
+  // The test's own host may be busy.
+  std::string before = it.LogText();
+  absl::SleepFor(absl::Milliseconds(600));
+  CHECK_THAT(it.LogText().substr(before.size()),
+             Catch::Contains("process_stalled"));
+  Answer metrics = it.Get("GET", "/metrics", it.settings.metrics);
+  CHECK_THAT(metrics.body,
+             Catch::Contains("front_process_stalls_total ") &&
+                 !Catch::Contains("front_process_stalls_total 0"));
+}
+
 TEST_CASE("metrics and status endpoints report current values", "[front]") {
   TestDeployment it;
   it.Start();
