Client: "sent" follows from the bytes that the kernel has taken

What callers saw: bookings that ran at two servers (TWICE), bookings answered 503 that had run (REFUSED), arrivals that no retry budget was charged with (BUDGET).

Cause: a call counted as unsent until the deferred notice of its connection had been delivered. After a pause of the process the connection is ready and the request is written in the first turn of the loop, but the connect timer has expired too and is handled before the notice: the call ended as `not_connected`, not sent, while the server had the whole request.

Fix: whether a request was sent follows from the output buffer alone, which loses exactly the bytes that the kernel has taken, also before the notice. A connect timer that expires while the socket has its peer goes on with the call as the notice would have.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -109,9 +110,8 @@
   CallId call() const { return call_; }
   const Endpoint& server() const { return server_; }
 
-  bool IsUnsent() const {
-    return !connected_ || OutputBytes() >= unsent_bytes_;
-  }
+  // The buffer loses exactly the bytes that the kernel has taken.
+  bool IsUnsent() const { return OutputBytes() >= unsent_bytes_; }
 
   bool IsUsable(absl::Time now, absl::Duration max_idle) const {
     return now - idle_since_ <
@@ -128,13 +128,26 @@
   static void OnState(bufferevent* /*buffers*/, int16_t what, void* context) {
     Connection& self = Self(context);
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-      self.connected_ = true;
-      self.ArmCallTimer();
+      self.OnConnected();
       return;
     }
     self.OnClosed((what & BEV_EVENT_EOF) != 0);
   }
 
+  void OnConnected() {
+    if (connected_) return;
+    connected_ = true;
+    ArmCallTimer();
+  }
+
+  // The kernel connects before the event callback reports it.
+  bool HasPeer() const {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    return getpeername(bufferevent_getfd(buffers_),
+                       reinterpret_cast<sockaddr*>(&address), &length) == 0;
+  }
+
   void ArmCallTimer() {
     timer_.Cancel();
     if (due_ == absl::InfiniteFuture()) return;
@@ -250,6 +263,8 @@
   void OnTimeout() {
     if (call_.value() == 0) {
       client_.Remove(this);
+    } else if (!connected_ && HasPeer()) {
+      OnConnected();
     } else {
       Fail(connected_ ? CallError::kTimeout : CallError::kConnect);
     }
--- /dev/null
+++ b/unittests/front/pause_test.cc
@@ -0,0 +1,98 @@
+// A front that stands still while its peers go on.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+#include "deployment.h"
+
+namespace chervilwick {
+namespace {
+
+// Longer than a connection to an engine may take.
+constexpr absl::Duration kConnectPause = absl::Milliseconds(260);
+
+// The loop's thread does not run, as in a stopped process.
+void StandStill(absl::Duration duration) {
+  std::this_thread::sleep_for(absl::ToChronoMilliseconds(duration));
+}
+
+// Stands still as soon as the front has begun `count` further connections.
+void PauseAtConnection(TestDeployment& deployment, uint64_t count) {
+  const HttpClient& client = deployment.front->context().client;
+  uint64_t target = client.connections_made() + count;
+  absl::Time end = deployment.loop.Now() + absl::Seconds(2);
+  while (client.connections_made() < target && deployment.loop.Now() < end) {
+    deployment.loop.RunFor(absl::Microseconds(5));
+  }
+  REQUIRE(client.connections_made() >= target);
+  StandStill(kConnectPause);
+}
+
+void AwaitEnd(TestDeployment& deployment, const Answer& answer) {
+  absl::Time end = deployment.loop.Now() + absl::Seconds(4);
+  while (!answer.is_complete && !answer.is_broken &&
+         deployment.loop.Now() < end) {
+    deployment.loop.RunFor(absl::Milliseconds(5));
+  }
+}
+
+TEST_CASE("booking whose connection is made while the front stands runs once",
+          "[front][pause]") {
+  TestDeployment it;
+  it.Start();
+  auto answer = it.SendRequest("POST", "/book/x");
+  PauseAtConnection(it, 1);
+  AwaitEnd(it, *answer);
+  CHECK(it.Runs("s1") + it.Runs("s2") == 1);
+  CHECK(answer->status == 200);
+  CHECK(answer->is_complete);
+}
+
+TEST_CASE("booking that ran while the front stands is not answered 503",
+          "[front][pause]") {
+  TestDeployment it;
+  it.Start();
+  it.RemoveServer("s2");
+  it.SetFaults({"s1"}, TestDeployment::Fault::kLoseResponse);
+  auto answer = it.SendRequest("POST", "/book/x");
+  PauseAtConnection(it, 1);
+  AwaitEnd(it, *answer);
+  CHECK(it.Runs("s1") == 1);
+  CHECK(answer->status == 502);
+}
+
+TEST_CASE("stream whose connections are made while the front stands runs once",
+          "[front][pause]") {
+  // The first connection is that of the prompt, the second that of the stream.
+  for (uint64_t connection : {1, 2}) {
+    INFO("connection " << connection);
+    TestDeployment it;
+    it.Add("p2", "llm", "prefill");
+    it.Start();
+    auto answer = it.SendRequest("POST", "/note/x");
+    PauseAtConnection(it, connection);
+    AwaitEnd(it, *answer);
+    CHECK(it.engines.at("p1")->prefills() + it.engines.at("p2")->prefills() ==
+          1);
+    CHECK(it.Runs("d1") + it.Runs("d2") == 1);
+    CHECK(answer->is_complete);
+    CHECK(answer->body == StreamEvents(1, 8));
+  }
+}
+
+TEST_CASE("every arrival after a pause but the first is charged to the budget",
+          "[front][pause]") {
+  TestDeployment it;
+  it.Add("s3", "desk", "");
+  it.SetFaults({"s1", "s2", "s3"}, TestDeployment::Fault::kLoseResponse, 1);
+  it.Start();
+  auto answer = it.SendRequest("GET", "/check/x");
+  PauseAtConnection(it, 1);
+  AwaitEnd(it, *answer);
+  CHECK(it.Runs("s1") + it.Runs("s2") + it.Runs("s3") ==
+        1 + it.front->context().stats.repeated_sends);
+}
+
+}  // namespace
+}  // namespace chervilwick
