Client: a cancelled call hears nothing more, even within the same bytes

What callers saw: a handler that cancels its call at a head or a body part is called again for what follows in the bytes that had already been read. A stream whose engine sent too long an event, or a wrong answer, would take the rest of that answer for the next engine's.

Cause: HttpClient::Cancel removes the connection, but the reader goes on through its buffer and the connection passes the events on.

Why it works: Connection::OnEvent, the only way to the handler for what is read, ignores events of a connection that has been removed.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -171,6 +171,9 @@
   }
 
   void OnEvent(HttpReadEvent event) {
+    // The handler may have cancelled the call at an earlier event of the same
+    // bytes.
+    if (removed_) return;
     std::visit(Overloaded{
                    [this](HttpHead& head) {
                      closes_ = !head.keep_alive || head.ends_with_connection;
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -162,6 +162,24 @@
   CHECK(seen.body == "mine");
 }
 
+TEST_CASE("a call that ended itself hears nothing more", "[net]") {
+  for (int parts : {0, 1}) {
+    RawPeer peer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n1\r\nb\r\n0\r\n\r\n");
+    EventLoop loop;
+    HttpClient client(loop, absl::Seconds(3));
+    CallId call;
+    int events = 0;
+    call = client.Start(peer.endpoint(), Get("/"), CallOptions(),
+                        [&](const CallEvent&) {
+                          if (events++ == parts) client.Cancel(call);
+                        });
+    loop.RunFor(kSoon);
+    CHECK(events == parts + 1);
+  }
+}
+
 TEST_CASE("bytes after an answer close its connection", "[net]") {
   RawPeer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokEXTRA");
   EventLoop loop;
