Front: no connection carries two calls of one request

What callers saw: an engine wrote an earlier refusal once more on a kept connection.

Cause: an answer is matched to a call by the request's id. The prompt call, the decode call and a call that is sent again bear the same id, and may go to one address over one kept connection: an engine that changed its stage, an engine that took over the address of one that ended (421), or a retry at the only server after a 500. A second copy of the first answer then comes where the second is due, with the right id.

Why it works: a relay hands the client the connections that its request has used, and HttpClient::TakeKept passes these over. On the connection that is used no earlier call bore the id, so what bears it answers this call; whatever else is on the connection bears other ids and is skipped as before. The connection stays in the pool for other requests.

The older interface can't show this: lib/engine makes a connection for each call.

--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -4,6 +4,7 @@
 #define CHERVILWICK_FRONT_RELAY_H_
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -66,7 +67,11 @@
   // Time left until the client's deadline; the route's timeout if the client
   // gave none.
   absl::Duration ClientRemaining() const;
-  CallOptions EngineCallOptions() const;
+  // Forwards the request to an engine. No connection carries two calls of one
+  // request: these bear the same id, so a repeated answer to the first would be
+  // taken for the answer to the second.
+  CallId CallEngine(const Endpoint& engine, const ForwardOptions& forward,
+                    size_t max_body_bytes, CallHandler handler);
   // Sends the client an error response and finishes the request.
   void RespondWithError(const ErrorResponse& error);
   // Logs and counts the outcome, then calls `finished`. Later calls do nothing.
@@ -88,11 +93,13 @@
 
  private:
   void ArmTimeout();
+  CallOptions EngineCallOptions() const;
 
   FrontContext& context_;
   AdmittedRequest admitted_;
   Finished finished_;
   Timer timeout_;
+  std::set<ConnectionId> used_connections_;
   bool is_finished_ = false;
 };
 
--- a/include/chervilwick/net/http_client.h
+++ b/include/chervilwick/net/http_client.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -32,6 +33,9 @@
   kTimeout,    // no whole answer within the call's time
 };
 
+// One connection of a client; never used again in a process.
+using ConnectionId = StrongType<struct ConnectionIdTag, uint64_t>;
+
 // Name of an error in logs and metrics.
 absl::string_view CallErrorText(CallError error);
 
@@ -65,6 +69,9 @@
   // be on it. Empty accepts every head.
   using Accepts = std::function<bool(const HttpHead&, bool is_fresh)>;
   Accepts accepts;
+  // Kept connections that the call must not use: where an earlier call bore the
+  // same mark, its answer may come again and `accepts` can't tell it apart.
+  std::set<ConnectionId> excluded;
 };
 
 class HttpClient {
@@ -82,6 +89,8 @@
   void Forget(const Endpoint& server);
   // Whether no byte of the request can have reached the server yet.
   bool IsUnsent(CallId id) const;
+  // Connection of a call that has not ended.
+  ConnectionId ConnectionOf(CallId id) const;
 
   size_t open_connections() const { return connections_.size(); }
   uint64_t connections_made() const { return connections_made_; }
@@ -89,7 +98,7 @@
  private:
   class Connection;
 
-  Connection* TakeKept(const Endpoint& server, absl::Duration max_idle);
+  Connection* TakeKept(const Endpoint& server, const CallOptions& options);
   Connection* Connect(const Endpoint& server, absl::Duration timeout);
   void Keep(Connection* connection);
   void Remove(Connection* connection);
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -15,7 +15,6 @@
 constexpr uint32_t kMaxSends = 4;
 // Maximum size of a buffered response.
 constexpr size_t kMaxAnswerBytes = size_t{8} << 20;
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
 // Retry-After when all servers are full: short calls free capacity in about
 // this time.
 constexpr absl::Duration kRetryAfterFull = absl::Milliseconds(150);
@@ -95,18 +94,14 @@
   ForwardOptions forward;
   forward.expected = backend->record.id;
   forward.remaining = ClientRemaining();
-  CallOptions options = EngineCallOptions();
-  options.connect_timeout = kConnectTimeout;
-  options.max_body_bytes = kMaxAnswerBytes;
   Attempt& attempt = attempts_[number];
   attempt.backend = backend->record.id;
   attempt.born_unix_ms = backend->record.born_unix_ms;
   attempt.sent = Now();
   tried_backends_.insert(attempt.backend);
   backend->own += {1, 0, 0};
-  attempt.call = context().client.Start(
-      backend->record.endpoint,
-      context().protocol.Forward(admitted().request, forward), options,
+  attempt.call = CallEngine(
+      backend->record.endpoint, forward, kMaxAnswerBytes,
       [this, number](CallEvent event) { OnEvent(number, std::move(event)); });
   context().log.Write(Now(), "sent",
                       {{"id", admitted().facts.request_id},
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -8,6 +8,7 @@
 namespace chervilwick {
 namespace {
 
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
 // Pooled connections that were idle for longer are not reused, as the server
 // may be closing them.
 constexpr absl::Duration kMaxIdle = absl::Seconds(4);
@@ -45,8 +46,21 @@
   ArmTimeout();
 }
 
+CallId Relay::CallEngine(const Endpoint& engine, const ForwardOptions& forward,
+                         size_t max_body_bytes, CallHandler handler) {
+  CallOptions options = EngineCallOptions();
+  options.max_body_bytes = max_body_bytes;
+  CallId call = context_.client.Start(
+      engine, context_.protocol.Forward(admitted_.request, forward), options,
+      std::move(handler));
+  used_connections_.insert(context_.client.ConnectionOf(call));
+  return call;
+}
+
 CallOptions Relay::EngineCallOptions() const {
   CallOptions options;
+  options.connect_timeout = kConnectTimeout;
+  options.excluded = used_connections_;
   options.max_idle = admitted_.route.MayRepeat() ? kMaxIdle : kMaxIdleRunOnce;
   options.accepts = [this](const HttpHead& head, bool is_fresh) {
     ResponseMetadata facts = context_.protocol.ParseResponse(head);
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -9,7 +9,6 @@
 namespace chervilwick {
 namespace {
 
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
 constexpr int kOk = 200;
 // Maximum body size of a response that is not a stream: a KV handle or a
 // failure.
@@ -124,15 +123,10 @@
 void StreamRelay::Call(const BackendState& engine,
                        const ForwardOptions& forward, size_t max_body_bytes,
                        CallHandler handler) {
-  CallOptions options = EngineCallOptions();
-  options.connect_timeout = kConnectTimeout;
-  options.max_body_bytes = max_body_bytes;
   body_.clear();
   call_started_ = Now();
-  call_ = context().client.Start(
-      engine.record.endpoint,
-      context().protocol.Forward(admitted().request, forward), options,
-      std::move(handler));
+  call_ = CallEngine(engine.record.endpoint, forward, max_body_bytes,
+                     std::move(handler));
 }
 
 void StreamRelay::SendPrompt(const BackendName& engine,
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -65,9 +66,10 @@
 
 class HttpClient::Connection {
  public:
-  Connection(HttpClient& client, const Endpoint& server,
+  Connection(HttpClient& client, ConnectionId id, const Endpoint& server,
              absl::Duration connect_timeout)
       : client_(client),
+        id_(id),
         server_(server),
         reader_(HttpReader::Role::kResponse, kMaxAnswerHeadBytes,
                 [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
@@ -106,6 +108,7 @@
     if (connected_) ArmCallTimer();
   }
 
+  ConnectionId id() const { return id_; }
   CallId call() const { return call_; }
   const Endpoint& server() const { return server_; }
 
@@ -269,6 +272,7 @@
   friend class HttpClient;
 
   HttpClient& client_;
+  ConnectionId id_;
   Endpoint server_;
   HttpReader reader_;
   Timer timer_;
@@ -298,7 +302,7 @@
 CallId HttpClient::Start(const Endpoint& server, const HttpRequest& request,
                          const CallOptions& options, CallHandler handler) {
   CallId id(next_id_++);
-  Connection* connection = TakeKept(server, options.max_idle);
+  Connection* connection = TakeKept(server, options);
   if (connection == nullptr) {
     connection = Connect(server, options.connect_timeout);
   }
@@ -308,19 +312,25 @@
 }
 
 HttpClient::Connection* HttpClient::TakeKept(const Endpoint& server,
-                                             absl::Duration max_idle) {
+                                             const CallOptions& options) {
   auto it = kept_.find(server);
-  if (it == kept_.end() || it->second.empty()) return nullptr;
-  Connection* connection = it->second.back();
-  if (!connection->IsUsable(loop_.Now(), max_idle)) return nullptr;
-  it->second.pop_back();
+  if (it == kept_.end()) return nullptr;
+  std::vector<Connection*>& kept = it->second;
+  auto found =
+      std::find_if(kept.rbegin(), kept.rend(), [&](const Connection* each) {
+        return options.excluded.count(each->id()) == 0 &&
+               each->IsUsable(loop_.Now(), options.max_idle);
+      });
+  if (found == kept.rend()) return nullptr;
+  Connection* connection = *found;
+  kept.erase(std::next(found).base());
   return connection;
 }
 
 HttpClient::Connection* HttpClient::Connect(const Endpoint& server,
                                             absl::Duration timeout) {
-  ++connections_made_;
-  auto connection = std::make_unique<Connection>(*this, server, timeout);
+  ConnectionId id(++connections_made_);
+  auto connection = std::make_unique<Connection>(*this, id, server, timeout);
   Connection* key = connection.get();
   connections_[key] = std::move(connection);
   return key;
@@ -370,4 +380,9 @@
   return it != calls_.end() && it->second->IsUnsent();
 }
 
+ConnectionId HttpClient::ConnectionOf(CallId id) const {
+  auto it = calls_.find(id);
+  return it == calls_.end() ? ConnectionId() : it->second->id();
+}
+
 }  // namespace chervilwick
--- /dev/null
+++ b/unittests/common/scripted_peer.h
@@ -0,0 +1,70 @@
+// A server that answers requests on kept connections with exact bytes.
+
+#ifndef CHERVILWICK_UNITTESTS_COMMON_SCRIPTED_PEER_H_
+#define CHERVILWICK_UNITTESTS_COMMON_SCRIPTED_PEER_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "chervilwick/net/http_message.h"
+#include "chervilwick/net/socket.h"
+
+namespace chervilwick {
+
+class ScriptedPeer {
+ public:
+  struct Reply {
+    explicit Reply(std::string answer) : bytes(std::move(answer)) {}
+
+    std::string bytes;
+    bool closes = false;  // after the bytes
+    std::string extra;    // sent before the bytes
+  };
+  // Called on the peer's thread. `previous` is the last answer (its bytes) on
+  // the request's connection, empty for its first request.
+  using Script = std::function<Reply(const HttpHead& request,
+                                     const std::string& previous)>;
+
+  explicit ScriptedPeer(Script script);
+  ~ScriptedPeer();
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  // Heads of the requests so far.
+  std::vector<HttpHead> Requests() const;
+  int connections() const { return connections_; }
+
+ private:
+  struct Connection;
+
+  void Accept();
+  // Returns whether the connection stays open.
+  bool Read(int socket, Connection& connection);
+
+  Script script_;
+  Endpoint endpoint_;
+  int listener_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> connections_{0};
+  mutable std::mutex mutex_;
+  std::vector<HttpHead> requests_;
+  std::map<int, std::unique_ptr<Connection>> open_;
+  std::thread thread_;
+};
+
+// Serialized answer to the request `id`: a refusal that promises that it did
+// not run, and a success with the engine's stamp.
+std::string RefusalTo(const std::string& id, int status = 503);
+std::string SuccessTo(const std::string& id, const std::string& body);
+// Head of a stream of events, whose body is sent in chunks.
+std::string StreamHeadTo(const std::string& id);
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_UNITTESTS_COMMON_SCRIPTED_PEER_H_
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -83,6 +83,33 @@
   CHECK(it.client.connections_made() == 1);
 }
 
+TEST_CASE("a call leaves out the kept connections that it excludes", "[net]") {
+  EventHttpServer* server = nullptr;
+  Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
+                 server->Respond(id, {200, {}, ""});
+               },
+               [](ExchangeId) {}});
+  server = &it.server;
+  CallOptions options;
+  for (uint64_t made = 1; made <= 3; ++made) {
+    Seen seen;
+    CallId call =
+        it.client.Start(it.address, Get("/"), options, seen.Handler());
+    options.excluded.insert(it.client.ConnectionOf(call));
+    CHECK(it.client.connections_made() == made);
+    it.loop.RunFor(kSoon);
+    CHECK(seen.ended);
+  }
+  CHECK(options.excluded.size() == 3);
+  Seen seen;
+  CallId call =
+      it.client.Start(it.address, Get("/"), CallOptions(), seen.Handler());
+  CHECK(options.excluded.count(it.client.ConnectionOf(call)) == 1);
+  it.loop.RunFor(kSoon);
+  CHECK(it.client.connections_made() == 3);
+  CHECK(it.client.ConnectionOf(call) == ConnectionId());
+}
+
 TEST_CASE("a stream is passed on as it comes", "[net]") {
   EventHttpServer* server = nullptr;
   std::optional<ExchangeId> exchange;
