--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -83,6 +83,33 @@
   CHECK(it.client.connections_made() == 1);
 }
 
+TEST_CASE("a call leaves out the kept connections that it excludes", "[net]") {
+  EventHttpServer* server = nullptr;
+  Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
+                 server->Respond(id, {200, {}, ""});
+               },
+               [](ExchangeId) {}});
+  server = &it.server;
+  CallOptions options;
+  for (uint64_t made = 1; made <= 3; ++made) {
+    Seen seen;
+    CallId call =
+        it.client.Start(it.address, Get("/"), options, seen.Handler());
+    options.excluded.insert(it.client.ConnectionOf(call));
+    CHECK(it.client.connections_made() == made);
+    it.loop.RunFor(kSoon);
+    CHECK(seen.ended);
+  }
+  CHECK(options.excluded.size() == 3);
+  Seen seen;
+  CallId call =
+      it.client.Start(it.address, Get("/"), CallOptions(), seen.Handler());
+  CHECK(options.excluded.count(it.client.ConnectionOf(call)) == 1);
+  it.loop.RunFor(kSoon);
+  CHECK(it.client.connections_made() == 3);
+  CHECK(it.client.ConnectionOf(call) == ConnectionId());
+}
+
 TEST_CASE("a stream is passed on as it comes", "[net]") {
   EventHttpServer* server = nullptr;
   std::optional<ExchangeId> exchange;
@@ -162,6 +189,24 @@
   CHECK(seen.body == "mine");
 }
 
+TEST_CASE("a call that ended itself hears nothing more", "[net]") {
+  for (int parts : {0, 1}) {
+    RawPeer peer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n1\r\nb\r\n0\r\n\r\n");
+    EventLoop loop;
+    HttpClient client(loop, absl::Seconds(3));
+    CallId call;
+    int events = 0;
+    call = client.Start(peer.endpoint(), Get("/"), CallOptions(),
+                        [&](const CallEvent&) {
+                          if (events++ == parts) client.Cancel(call);
+                        });
+    loop.RunFor(kSoon);
+    CHECK(events == parts + 1);
+  }
+}
+
 TEST_CASE("bytes after an answer close its connection", "[net]") {
   RawPeer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokEXTRA");
   EventLoop loop;
