Front: a stop takes only what it has time for

Streams that came to a front after its SIGTERM, over new or over kept connections, were started although they could not end before the shutdown limit, and were cut there.

Cause: nothing weighed how long a request takes. A stopping front took every request until its process was gone.

Evidence, tests of this commit on the code before: of two streams of 2.4 s, the one that came 1.9 s into a stop of 4 s was started (status 200, two runs) and did not become whole; a stream that waited for a place was still waiting 0.3 s into a stop of 3 s, where its deadline lay behind the limit. After: both are answered 503 with Retry-After and "Connection: close" and reach no engine; the stream under way at SIGTERM ends whole; streams of 80 ms are still taken 1.9 s into the stop.

Fix: ShutdownPlan and RouteDurations in lib/dispatch. What is not expected to end before open requests are ended is refused at once, also streams that wait for a placement and have not run.

Only the front's own requests are measured, not those of its peers.

--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -11,6 +11,7 @@
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/crash_suspects.h"
 #include "chervilwick/dispatch/retry_quota.h"
+#include "chervilwick/dispatch/shutdown_plan.h"
 #include "chervilwick/dispatch/stream_scheduler.h"
 #include "chervilwick/front/front_stats.h"
 #include "chervilwick/front/outside_protocol.h"
@@ -44,6 +45,7 @@
   StreamScheduler scheduler;
   RetryQuota quota;
   CrashSuspects suspects;
+  RouteDurations durations;
   // Clock that includes the time for which the host is suspended, because
   // leases expire meanwhile.
   std::function<absl::Time()> boot_time;
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -78,6 +78,11 @@
   void ReloadSettings();
   void ApplyLimits();
   void CheckShutdown();
+  // Refuses a request that the front, which is shutting down, has no time for.
+  // Returns whether it was refused.
+  bool RefuseIfTooLate(const AdmittedRequest& admitted);
+  // Refuses streams without a placement that would not end in time.
+  void RefuseLateStreams(absl::Time now);
   std::string Metrics() const;
   std::string Status();
 
@@ -101,9 +106,8 @@
   std::map<ExchangeId, std::unique_ptr<Relay>> relays_;
   std::map<ExchangeId, StreamRelay*> streams_;
   const absl::Time started_ = absl::Now();
-  bool stopping_ = false;
   bool was_ready_ = false;
-  absl::Time stop_began_;
+  std::optional<ShutdownPlan> shutdown_;  // set while shutting down
 };
 
 }  // namespace chervilwick
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -3,7 +3,10 @@
 #ifndef CHERVILWICK_FRONT_RELAY_H_
 #define CHERVILWICK_FRONT_RELAY_H_
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -24,6 +27,14 @@
   ServiceName service;
   Fingerprint fingerprint;
   absl::Time arrived;
+
+  // Number of tokens that the response is estimated to have; 0 if unknown.
+  uint32_t OutputTokens() const {
+    uint32_t limit = facts.max_output_tokens;
+    if (!facts.output_hint) return limit;
+    return limit == 0 ? *facts.output_hint
+                      : std::min(limit, *facts.output_hint);
+  }
 };
 
 // Error response that the front itself generates for a request.
@@ -52,6 +63,8 @@
   // Called when a new configuration version is in force. Applies a changed
   // timeout of the route.
   void OnConfigChange();
+  // Time that the request would take if it started now.
+  absl::Duration ExpectedDuration() const;
   const AdmittedRequest& admitted() const { return admitted_; }
 
  protected:
@@ -67,6 +80,8 @@
   // gave none.
   absl::Duration ClientRemaining() const;
   CallOptions EngineCallOptions() const;
+  // Called when the head of the response is sent.
+  void MarkOutput() { until_output_ = Elapsed(); }
   // Sends the client an error response and finishes the request.
   void RespondWithError(const ErrorResponse& error);
   // Logs and counts the outcome, then calls `finished`. Later calls do nothing.
@@ -93,6 +108,7 @@
   AdmittedRequest admitted_;
   Finished finished_;
   Timer timeout_;
+  std::optional<absl::Duration> until_output_;
   bool is_finished_ = false;
 };
 
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -28,6 +28,10 @@
   // Called when the request is quarantined because servers crashed while
   // running it. Ends the stream if it still waits for placement.
   void OnQuarantined();
+  // Whether no engine has been asked to run the stream yet.
+  bool IsWaiting() const;
+  // Ends a waiting stream that the front has no time to run.
+  void OnTooLateToStart(absl::Duration retry_after);
 
  protected:
   void OnTimeout() override;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -22,12 +22,6 @@
 // Repeats the time of day, so that log lines can still be dated if the start of
 // the log is missing.
 constexpr absl::Duration kClockLogInterval = absl::Minutes(1);
-// The load balancer removes a host after two failed probes one second apart. It
-// opens new connections until then.
-constexpr absl::Duration kLoadBalancerDelay = absl::Milliseconds(2600);
-// Time before the shutdown limit at which open requests are cut off, so that
-// the process exits within the limit.
-constexpr absl::Duration kShutdownMargin = absl::Milliseconds(150);
 
 // Largest factor by which a notice from a peer is prolonged. The peer that
 // found a server unreachable retries it first; the other fronts wait longer and
@@ -210,13 +204,14 @@
 }
 
 bool FrontDaemon::IsReady() const {
-  return !stopping_ && store_.has_table() && store_.has_backends();
+  return !shutdown_ && store_.has_table() && store_.has_backends();
 }
 
 void FrontDaemon::OnRouteTable(const RouteTable& table) {
   table_ = table;
   context_.scheduler.SetEngineTraits(table_.services);
   ApplyLimits();
+  context_.durations.KeepOnly(table_);
   context_.log.Write(loop_.Now(), "version_in_force",
                      {{"version", table_.version.value()},
                       {"routes", static_cast<uint64_t>(table_.routes.size())}});
@@ -344,7 +339,7 @@
     was_ready_ = IsReady();
     context_.log.Write(now, "readiness", {{"ready", was_ready_}});
   }
-  if (stopping_) CheckShutdown();
+  if (shutdown_) CheckShutdown();
 }
 
 void FrontDaemon::EndQuarantinedStreams(absl::Time now) {
@@ -381,25 +376,4 @@
                      {{"seeds", current.seeds}, {"store", current.store}});
 }
 
-void FrontDaemon::BeginShutdown() {
-  if (stopping_) return;
-  stopping_ = true;
-  stop_began_ = loop_.Now();
-  clients_.CloseAfterAnswers();
-  context_.log.Write(stop_began_, "stopping",
-                     {{"in_flight", static_cast<uint64_t>(relays_.size())}});
-}
-
-void FrontDaemon::CheckShutdown() {
-  absl::Duration since = loop_.Now() - stop_began_;
-  if (since >= context_.settings.shutdown_limit - kShutdownMargin) {
-    loop_.Stop();
-    return;
-  }
-  if (since < kLoadBalancerDelay) return;
-  clients_.StopListening();
-  clients_.CloseIdle();
-  if (relays_.empty() && clients_.open_connections() == 0) loop_.Stop();
-}
-
 }  // namespace chervilwick
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -82,6 +82,7 @@
     Reject(id, facts, 503, "quarantined", quarantine);
     return;
   }
+  if (RefuseIfTooLate(admitted)) return;
   admitted.request = std::move(request);
   Admit(std::move(admitted));
 }
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -36,6 +36,13 @@
   return std::min(ClientRemaining(), admitted_.route.timeout - Elapsed());
 }
 
+absl::Duration Relay::ExpectedDuration() const {
+  return chervilwick::ExpectedDuration(
+      admitted_.route,
+      context_.durations.Expect(admitted_.route.name, admitted_.OutputTokens()),
+      Remaining());
+}
+
 void Relay::ArmTimeout() { timeout_.Arm(Remaining()); }
 
 void Relay::OnConfigChange() {
@@ -87,6 +94,13 @@
   timeout_.Cancel();
   context_.stats.CountOutcome(admitted_.route.name, absl::StrCat(outcome));
   context_.stats.answer_time[admitted_.route.name].Add(Elapsed());
+  // A stream that the client resumed is only the rest of one.
+  if (outcome == "answered" && status < 300 && !admitted_.facts.last_event) {
+    absl::Duration until_output = until_output_.value_or(Elapsed());
+    context_.durations.Add(
+        admitted_.route.name,
+        {until_output, Elapsed() - until_output, admitted_.OutputTokens()});
+  }
   context_.log.Write(Now(), "request_done",
                      {{"id", admitted_.facts.request_id},
                       {"route", admitted_.route.name},
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -232,6 +232,7 @@
   lifecycle_.OnStreaming(Now());
   // A resumed stream keeps the response head of the first engine.
   if (!is_first) return;
+  MarkOutput();
   context().stats.first_event[admitted().route.name].Add(Elapsed());
   Log("streaming", engine.value(), "head received");
   context().server->BeginStream(admitted().id, head_.status,
@@ -389,6 +390,16 @@
 
 void StreamRelay::OnQuarantined() { lifecycle_.RecheckQuarantine(Now()); }
 
+bool StreamRelay::IsWaiting() const {
+  return lifecycle_.phase() == Phase::kWaiting && lifecycle_.runs() == 0;
+}
+
+void StreamRelay::OnTooLateToStart(absl::Duration retry_after) {
+  context().scheduler.Withdraw(admitted().id);
+  FreeHandle();
+  Relay::RespondWithError({503, "stopping", retry_after});
+}
+
 void StreamRelay::OnTimeout() {
   AbandonCall("timeout");
   context().scheduler.Withdraw(admitted().id);
--- /dev/null
+++ b/unittests/front/stop_limit_test.cc
@@ -0,0 +1,94 @@
+// What a stopping front takes, and what it does at its limit.
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "deployment.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr absl::Duration kLimit = absl::Seconds(4);
+
+void SetEventTime(TestDeployment& it, absl::Duration time) {
+  it.engines.at("d1")->SetEventTime(time);
+  it.engines.at("d2")->SetEventTime(time);
+}
+
+size_t StreamRuns(const TestDeployment& it) {
+  return it.Runs("d1") + it.Runs("d2");
+}
+
+TEST_CASE("a stream that can't end before the limit is not cut but refused",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = kLimit;
+  SetEventTime(it, absl::Milliseconds(300));
+  it.Start();
+  auto under_way = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(100));
+  it.front->BeginShutdown();
+  it.loop.RunFor(absl::Milliseconds(1900));
+  size_t runs = StreamRuns(it);
+  auto late = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(500));
+  CHECK(late->status == 503);
+  CHECK(late->is_complete);
+  CHECK_FALSE(late->head.keep_alive);
+  CHECK_FALSE(late->head.Get("Retry-After").empty());
+  CHECK(StreamRuns(it) == runs);
+  it.loop.RunFor(absl::Milliseconds(1400));
+  CHECK(under_way->body == StreamEvents(1, 8));
+  CHECK_FALSE(late->is_broken);
+}
+
+TEST_CASE("a stopping front takes streams that end before the limit",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = kLimit;
+  it.Start();
+  std::vector<std::shared_ptr<Answer>> before;
+  for (int n = 0; n < 10; ++n) {
+    before.push_back(it.SendRequest("POST", "/note/x", "", 3000));
+    it.loop.RunFor(absl::Milliseconds(150));
+  }
+  it.front->BeginShutdown();
+  it.loop.RunFor(absl::Milliseconds(1900));
+  auto late = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(500));
+  CHECK(late->status == 200);
+  CHECK(late->body == StreamEvents(1, 8));
+}
+
+TEST_CASE("a waiting stream that would be cut by a stop is refused early",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = absl::Seconds(3);
+  SetEventTime(it, absl::Milliseconds(500));
+  it.Start();
+  std::vector<std::shared_ptr<Answer>> streams;
+  // Fills the memory of the decode engines.
+  while (it.front->context().scheduler.waiting() == 0) {
+    REQUIRE(streams.size() < 100);
+    streams.push_back(it.SendRequest("POST", "/note/x", "", 3000));
+    it.loop.RunFor(absl::Milliseconds(40));
+  }
+  it.front->BeginShutdown();
+  it.loop.RunFor(absl::Milliseconds(300));
+  CHECK(it.front->context().scheduler.waiting() == 0);
+  size_t refused = 0;
+  for (const auto& stream : streams) {
+    if (stream->status != 503) continue;
+    ++refused;
+    CHECK(stream->is_complete);
+    CHECK_FALSE(stream->head.Get("Retry-After").empty());
+  }
+  CHECK(refused > 0);
+  CHECK(refused + StreamRuns(it) == streams.size());
+}
+
+}  // namespace
+}  // namespace chervilwick
