Platform: a success is never taken for "not run"

What callers saw: nothing reported; found beside the reports on odd answers.

Cause: ParseResponse took the field of any status. The platform gives the promise with 400, 421, 429 and 503.

--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -192,6 +192,10 @@
   head.status = 421;
   CHECK(protocol.ParseResponse(head).is_wrong_server);
   CHECK(protocol.ParseResponse(head).is_not_run);
+  // A success has run, whatever else its head says.
+  head.status = 200;
+  head.fields = {{"X-Not-Run", "1"}};
+  CHECK_FALSE(protocol.ParseResponse(head).is_not_run);
 }
 
 ResponseMetadata Facts(int status, std::vector<HttpField> fields) {
