Front: a resumed stream takes only the events that continue it

What callers saw: a stream had begun and broke off; the next engine answered with an error.

Cause: StreamRelay passed on whatever a stamped 2xx held. It looked neither at the type of the answer nor at the ids of its events, sent on what was left after the last whole event, and took any orderly end for the end of the stream.

Why it works: a second run is joined only if its head has the status and the type of the first (text/event-stream). Its events must go on after the last id; where ids were consecutive so far, at the next one. Before its first event with an id nothing of it is passed on. The first wrong event ends the call as broken: another engine may be asked, else the client's stream is cut. An event stream that ends inside an event, and a resumed run without an event, are not complete. Events without ids give no place to go on, so such a stream isn't resumed. The first run of a response is passed on as its engine sends it.

A resumed run that is empty is cut even where the first engine had sent all events and broke before the end of its message: the two can't be told apart, and a complete end that isn't one is worse. Sound before: 500 and 503 answers, missing stamps, heads alone, malformed bytes.

The new log event decode_invalid says which rule an answer broke.

--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -140,6 +140,9 @@
   // The decode engine sent a complete event. Partial events are not progress: a
   // stalled engine may send single bytes indefinitely.
   void OnProgress(absl::Time now);
+  // Whether the events that the client has received tell another engine where
+  // to go on; true before the first.
+  void SetResumePoint(bool is_known) { has_resume_point_ = is_known; }
   void OnCompleted(absl::Time now);
   // The decode engine reported that it did not run the stream.
   // `is_wrong_server`: another server answered than the intended one.
@@ -205,6 +208,7 @@
   uint32_t handle_refusals_ = 0;
   bool is_streaming_ = false;  // the client has the response head
   bool reads_at_decode_ = false;
+  bool has_resume_point_ = true;
   bool was_silent_ = false;
   bool placed_on_suspect_ = false;  // no other decode engine was available
 };
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -53,8 +53,10 @@
   void OnDecodeEvent(CallEvent event);
   void OnDecodeHead(HttpHead head);
   void OnDecodeBytes(absl::string_view bytes);
-  // Called when a response exceeds the maximum size.
-  void OnOversizedAnswer();
+  // Whether the head of a resumed run's answer is that of the same stream.
+  bool ContinuesStream(const HttpHead& head) const;
+  // Ends the call whose response is not one that may be forwarded.
+  void OnInvalidAnswer(absl::string_view why);
   void OnDecodeEnd();
   void OnDecodeBroken(const CallFailure& failure);
   void OnIdleTimeout();
@@ -75,8 +77,9 @@
 
   StreamLifecycle lifecycle_;
   CallId call_;
-  HttpHead head_;
-  std::string body_;  // of a response that is not a stream
+  HttpHead head_;         // of the current call
+  HttpHead stream_head_;  // sent to the client
+  std::string body_;      // of a response that is not a stream
   std::optional<PromptHandle> handle_;
   absl::Time call_started_;
   EventSplitter events_;
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -297,7 +297,7 @@
 }
 
 bool StreamLifecycle::MayResume() const {
-  return terms_.resumable && runs_ < terms_.attempts &&
+  return terms_.resumable && has_resume_point_ && runs_ < terms_.attempts &&
          decode_sends_ < kMaxDecodeSends;
 }
 
--- a/lib/front/event_splitter.cc
+++ b/lib/front/event_splitter.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
 namespace chervilwick {
@@ -13,6 +15,7 @@
 
 constexpr absl::string_view kIdField = "id:";
 constexpr absl::string_view kDataField = "data";
+constexpr absl::string_view kComment = ":";
 
 // Returns the offset after the last empty line, or 0 if there is none.
 size_t EndOfLastEvent(absl::string_view text) {
@@ -25,21 +28,36 @@
 
 }  // namespace
 
+void EventSplitter::BeginRun(std::optional<uint64_t> resumed_after) {
+  partial_.clear();
+  run_ids_ = 0;
+  is_out_of_order_ = false;
+  is_resumed_ = resumed_after.has_value();
+  next_id_ = resumed_after.value_or(0) + 1;
+}
+
 std::string EventSplitter::Append(absl::string_view bytes) {
   partial_.append(bytes.data(), bytes.size());
   size_t end = EndOfLastEvent(partial_);
-  if (end == 0) return "";
+  if (end == 0 || is_out_of_order_) return "";
   std::string complete = partial_.substr(0, end);
   partial_.erase(0, end);
-  CountEvents(complete);
-  return complete;
+  return TakeEvents(complete);
 }
 
 std::string EventSplitter::TakeRemainder() {
   return std::exchange(partial_, "");
 }
 
-void EventSplitter::CountEvents(absl::string_view events) {
+bool EventSplitter::HasPartialEvent() const {
+  std::vector<absl::string_view> lines = absl::StrSplit(partial_, '\n');
+  return std::any_of(lines.begin(), lines.end(), [](absl::string_view it) {
+    return !it.empty() && it != "\r" && !absl::StartsWith(it, kComment);
+  });
+}
+
+std::string EventSplitter::TakeEvents(absl::string_view events) {
+  std::string out;
   size_t start = 0;
   size_t line_start = 0;
   while (line_start < events.size()) {
@@ -47,26 +65,60 @@
     absl::string_view line = events.substr(line_start, line_end - line_start);
     line_start = line_end + 1;
     if (!line.empty() && line != "\r") continue;
-    CountEvent(events.substr(start, line_end - start));
+    absl::string_view text = events.substr(start, line_start - start);
     start = line_start;
+    Event event = Parse(text);
+    Verdict verdict = Check(event);
+    if (verdict == Verdict::kOutOfOrder) {
+      is_out_of_order_ = true;
+      return out;
+    }
+    if (verdict == Verdict::kDrop) continue;
+    Count(event);
+    absl::StrAppend(&out, text);
   }
+  return out;
 }
 
-void EventSplitter::CountEvent(absl::string_view event) {
-  std::optional<uint64_t> id;
-  bool has_data = false;
-  for (absl::string_view line : absl::StrSplit(event, '\n')) {
-    has_data = has_data || absl::StartsWith(line, kDataField);
+EventSplitter::Event EventSplitter::Parse(absl::string_view text) {
+  Event event;
+  for (absl::string_view line : absl::StrSplit(text, '\n')) {
+    event.has_data = event.has_data || absl::StartsWith(line, kDataField);
     if (!absl::StartsWith(line, kIdField)) continue;
     line.remove_prefix(kIdField.size());
     uint64_t number = 0;
     if (absl::SimpleAtoi(absl::StripAsciiWhitespace(line), &number)) {
-      id = number;
+      event.id = number;
     }
   }
-  bool is_progress = id ? !last_id_ || *id > *last_id_ : has_data;
+  return event;
+}
+
+EventSplitter::Verdict EventSplitter::Check(const Event& event) const {
+  if (!is_resumed_) return Verdict::kForward;
+  if (!event.id) {
+    if (run_ids_ > 0) return Verdict::kForward;
+    return event.has_data ? Verdict::kOutOfOrder : Verdict::kDrop;
+  }
+  bool is_repeated = *event.id < next_id_;
+  bool is_gap = *event.id > next_id_ && has_ids_ && !has_gaps_;
+  return is_repeated || is_gap ? Verdict::kOutOfOrder : Verdict::kForward;
+}
+
+void EventSplitter::Count(const Event& event) {
+  bool is_progress =
+      event.id ? !last_id_ || *event.id > *last_id_ : event.has_data;
   if (is_progress) ++events_;
-  if (id) last_id_ = id;
+  if (!event.id) {
+    has_data_without_id_ = has_data_without_id_ || event.has_data;
+    return;
+  }
+  has_gaps_ = has_gaps_ || *event.id != next_id_;
+  has_ids_ = true;
+  has_data_without_id_ = false;
+  last_id_ = event.id;
+  next_id_ = *event.id + 1;
+  ++run_ids_;
 }
 
 }  // namespace chervilwick
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "chervilwick/support/overloaded.h"
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr absl::string_view kEventStream = "text/event-stream";
 // Maximum body size of a response that is not a stream: a KV handle or a
 // failure.
 constexpr size_t kMaxBufferedAnswerBytes = size_t{256} << 10;
@@ -19,6 +21,13 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+// Content type without parameters.
+std::string MediaType(const HttpHead& head) {
+  std::string type = head.Get("Content-Type");
+  return absl::AsciiStrToLower(
+      absl::StripAsciiWhitespace(type.substr(0, type.find(';'))));
+}
+
 StreamTerms MakeStreamTerms(const AdmittedRequest& admitted,
                             double stall_patience) {
   StreamTerms terms;
@@ -199,7 +208,9 @@
   if (with_handle && handle_) forward.kv_source = handle_->source;
   forward.resume_after =
       events_.last_id() ? events_.last_id() : admitted().facts.last_event;
-  events_.DiscardRemainder();
+  // The first run of a response is forwarded as the engine sends it.
+  events_.BeginRun(lifecycle_.is_streaming() ? forward.resume_after
+                                             : std::nullopt);
   idle_timer_.Arm(StreamLifecycle::SilenceThreshold());
   Call(*context().backends.Find(engine), forward, CallOptions::kNoBodyLimit,
        [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
@@ -222,10 +233,15 @@
   head_ = std::move(head);
   if (!IsSuccess(head_.status) || !facts.has_server_stamp) return;
   bool is_first = !lifecycle_.is_streaming();
+  if (!is_first && !ContinuesStream(head_)) {
+    OnInvalidAnswer("resumed run is not an event stream");
+    return;
+  }
   handle_.reset();
   lifecycle_.OnStreaming(Now());
   // A resumed stream keeps the response head of the first engine.
   if (!is_first) return;
+  stream_head_ = head_;
   context().stats.first_event[admitted().route.name].Add(Elapsed());
   Log("streaming", engine.value(), "head received");
   context().server->BeginStream(admitted().id, head_.status,
@@ -236,23 +252,35 @@
   ResponseMetadata facts = context().protocol.ParseResponse(head_);
   if (!IsSuccess(head_.status) || !facts.has_server_stamp) {
     absl::StrAppend(&body_, bytes);
-    if (body_.size() > kMaxBufferedAnswerBytes) OnOversizedAnswer();
+    if (body_.size() > kMaxBufferedAnswerBytes) OnInvalidAnswer("too long");
     return;
   }
   uint64_t before = events_.events();
   context().server->SendStream(admitted().id, events_.Append(bytes));
   if (events_.IsTooLong()) {
-    OnOversizedAnswer();
+    OnInvalidAnswer("event too long");
+    return;
+  }
+  if (events_.IsOutOfOrder()) {
+    OnInvalidAnswer("resumed run does not go on at the next event");
     return;
   }
   // Only complete events count as progress, so that an engine which sends
   // fragments without end is detected as stalled.
   if (events_.events() == before) return;
+  lifecycle_.SetResumePoint(events_.CanResume());
   idle_timer_.Arm(StreamLifecycle::SilenceThreshold());
   lifecycle_.OnProgress(Now());
 }
 
-void StreamRelay::OnOversizedAnswer() {
+bool StreamRelay::ContinuesStream(const HttpHead& head) const {
+  return head.status == stream_head_.status &&
+         MediaType(head) == kEventStream &&
+         MediaType(stream_head_) == kEventStream;
+}
+
+void StreamRelay::OnInvalidAnswer(absl::string_view why) {
+  LogBackendError("decode_invalid", lifecycle_.placement().decode.value(), why);
   CancelCall();
   OnDecodeBroken({CallError::kMalformed, true});
 }
@@ -285,6 +313,13 @@
     OnDecodeBroken({CallError::kMalformed, true});
     return;
   }
+  bool is_broken_off =
+      MediaType(stream_head_) == kEventStream && events_.HasPartialEvent();
+  if (is_broken_off || events_.IsResumedRunEmpty()) {
+    OnInvalidAnswer(is_broken_off ? "ended inside an event"
+                                  : "resumed run without an event");
+    return;
+  }
   context().server->SendStream(admitted().id, events_.TakeRemainder());
   context().server->EndStream(admitted().id);
   lifecycle_.OnCompleted(Now());
--- a/unittests/front/repeated_answer_test.cc
+++ b/unittests/front/repeated_answer_test.cc
@@ -1,5 +1,6 @@
 // Engines that write an earlier answer once more on a kept connection.
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
