Log: lines of a process that exits wait for a late reader

What operators saw: the end of a front's log may be missing after a stop, with "stop" and the last request_done lines.

Cause: at the exit the log was flushed once, and what the reader of the pipe did not take at that moment was lost.

Evidence: 1,000 lines, a reader that is 20 ms late. A reader that takes nothing holds up the exit for the given time only.

Fix: Drain polls for the reader up to a limit.

--- a/include/chervilwick/telemetry/decision_log.h
+++ b/include/chervilwick/telemetry/decision_log.h
@@ -51,6 +51,8 @@
              std::initializer_list<LogValue> values);
   // Writes what the reader takes now; called from a timer.
   void Flush();
+  // Writes what is buffered; waits for the reader for that long at most.
+  void Drain(absl::Duration patience);
 
   uint64_t lines() const { return lines_; }
   uint64_t dropped() const { return dropped_; }
--- a/lib/telemetry/decision_log.cc
+++ b/lib/telemetry/decision_log.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <climits>
 #include <cmath>
 #include <utility>
@@ -93,4 +94,21 @@
   }
 }
 
+void DecisionLog::Drain(absl::Duration patience) {
+  auto until =
+      std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(patience);
+  Flush();
+  while (!buffer_.empty()) {
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        until - std::chrono::steady_clock::now());
+    pollfd ready{descriptor_, POLLOUT, 0};
+    if (left.count() <= 0 ||
+        poll(&ready, 1, static_cast<int>(left.count())) != 1 ||
+        (ready.revents & POLLOUT) == 0) {
+      return;
+    }
+    Flush();
+  }
+}
+
 }  // namespace chervilwick
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -5,12 +5,16 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
+#include <thread>
 
+#include "absl/time/clock.h"
 #include "chervilwick/telemetry/log_timeline.h"
 #include "chervilwick/telemetry/request_story.h"
 #include "chervilwick/telemetry/status_table.h"
@@ -63,6 +67,39 @@
   CHECK(line["long"].get<std::string>().size() == 200);
 }
 
+TEST_CASE("the last lines reach a reader that is late at the exit",
+          "[telemetry]") {
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), "front-1");
+  constexpr int kLines = 1000;  // more than a pipe holds
+  for (int n = 0; n < kLines; ++n) {
+    log.Write(kNow, "sent", {{"text", std::string(150, 'x')}});
+  }
+  log.Flush();
+  std::string text;
+  std::thread reader([&] {
+    for (int n = 0; n < 20; ++n) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      text += pipe.Read();
+    }
+  });
+  log.Drain(absl::Seconds(3));
+  reader.join();
+  CHECK(std::count(text.begin(), text.end(), '\n') == kLines);
+}
+
+TEST_CASE("a reader that takes nothing does not hold up the exit",
+          "[telemetry]") {
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), "front-1");
+  for (int n = 0; n < 1000; ++n) {
+    log.Write(kNow, "sent", {{"text", std::string(150, 'x')}});
+  }
+  absl::Time began = absl::Now();
+  log.Drain(absl::Milliseconds(100));
+  CHECK(absl::Now() - began < absl::Seconds(2));
+}
+
 TEST_CASE("a reader that stalls costs lines, never time", "[telemetry]") {
   Pipe pipe;
   DecisionLog log(pipe.writer(), "front-1");
