Front: requests that are open at the end of a stop get their answer

At the shutdown limit all that was open was cut without an answer, 150 ms before the limit: calls that had not run, calls that may have run, streams. A process that stood still then was killed, with answers that it had not sent.

Cause: the daemon left its loop at the limit; the connections closed with it.

Evidence, a test of this commit on the code before: a call at a server that does not answer is open at the limit of 2 s; before: connection closed, no status; after: 504. The stream beside it is cut and does not look complete, before and after.

Fix: an eighth of the limit before it, each open request is ended: 503 where no server can have run it, 504 where one may have, a cut where a part has been sent. The loop then runs on until the answers have been taken, up to a sixteenth of the limit before it, and the log is drained. At least one turn of the timer lies between the answers and the exit, so that a process that stood still sends them before it exits.

--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -38,7 +38,7 @@
   // Returns the error if an address is unavailable, nullopt once it listens.
   std::optional<std::string> Start();
   // Runs until a graceful stop has completed or reached the shutdown limit.
-  // Returns true if no request was cut off.
+  // Returns true if no request was open at the limit.
   bool Run();
   // Starts a graceful stop, as SIGTERM does.
   void BeginShutdown();
@@ -83,6 +83,8 @@
   bool RefuseIfTooLate(const AdmittedRequest& admitted);
   // Refuses streams without a placement that would not end in time.
   void RefuseLateStreams(absl::Time now);
+  // Answers the requests that are open at the limit with an error.
+  void EndOpenRequests();
   std::string Metrics() const;
   std::string Status();
 
@@ -107,6 +109,7 @@
   std::map<ExchangeId, StreamRelay*> streams_;
   const absl::Time started_ = absl::Now();
   bool was_ready_ = false;
+  size_t cut_requests_ = 0;               // open at the shutdown limit
   std::optional<ShutdownPlan> shutdown_;  // set while shutting down
 };
 
--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -24,6 +24,7 @@
 
   void Start() override;
   void OnClientGone() override;
+  void OnShutdownLimit() override;
 
  protected:
   void OnTimeout() override;
@@ -67,6 +68,8 @@
   void Deliver(const Attempt& attempt);
   Attempt RemoveAttempt(uint32_t number);
   void CancelAll();
+  // Ends the request while attempts may be open.
+  void EndAsOpen(absl::string_view reason);
   // Whether the route and the limits on attempts permit another run.
   bool MayRunAgain() const;
 
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -63,6 +63,9 @@
   // Called when a new configuration version is in force. Applies a changed
   // timeout of the route.
   void OnConfigChange();
+  // Called when the front shuts down and can't wait for the response. Responds
+  // with an error; a response that has begun is cut off.
+  virtual void OnShutdownLimit() = 0;
   // Time that the request would take if it started now.
   absl::Duration ExpectedDuration() const;
   const AdmittedRequest& admitted() const { return admitted_; }
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -28,13 +28,14 @@
   // Called when the request is quarantined because servers crashed while
   // running it. Ends the stream if it still waits for placement.
   void OnQuarantined();
+  void OnShutdownLimit() override { EndAsOpen("shutdown_limit"); }
   // Whether no engine has been asked to run the stream yet.
   bool IsWaiting() const;
   // Ends a waiting stream that the front has no time to run.
   void OnTooLateToStart(absl::Duration retry_after);
 
  protected:
-  void OnTimeout() override;
+  void OnTimeout() override { EndAsOpen("timeout"); }
 
  private:
   using Phase = StreamLifecycle::Phase;
@@ -65,6 +66,8 @@
   // Reports the open call, if it has been sent, as a lost run. The caller
   // cancels it. `sign` says why the complete response will not be received.
   void AbandonCall(absl::string_view sign);
+  // Ends the stream wherever it stands.
+  void EndAsOpen(absl::string_view reason);
   // Clears the state of a call that has ended.
   void EndCall();
   void CancelCall();
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kPeriodicTaskInterval = absl::Milliseconds(100);
 constexpr absl::Duration kSettingsCheckInterval = absl::Seconds(1);
 constexpr absl::Duration kLogFlushInterval = absl::Milliseconds(100);
+// Time for the reader of the log to take the last lines.
+constexpr absl::Duration kLogDrainTime = absl::Milliseconds(200);
 // Repeats the time of day, so that log lines can still be dated if the start of
 // the log is missing.
 constexpr absl::Duration kClockLogInterval = absl::Minutes(1);
@@ -189,12 +191,12 @@
 
 bool FrontDaemon::Run() {
   loop_.Run();
-  bool drained = relays_.empty();
+  size_t cut = cut_requests_ + relays_.size();
   context_.log.Write(loop_.Now(), "stop",
-                     {{"cut", static_cast<uint64_t>(relays_.size())}});
-  context_.log.Flush();
+                     {{"cut", static_cast<uint64_t>(cut)}});
+  context_.log.Drain(kLogDrainTime);
   relays_.clear();
-  return drained;
+  return cut == 0;
 }
 
 void FrontDaemon::LogWallClock() {
--- a/lib/front/front_shutdown.cc
+++ b/lib/front/front_shutdown.cc
@@ -51,16 +51,29 @@
   }
 }
 
+void FrontDaemon::EndOpenRequests() {
+  cut_requests_ += relays_.size();
+  std::vector<Relay*> open;
+  for (const auto& it : relays_) open.push_back(it.second.get());
+  // Each ends itself and is destroyed by the loop.
+  for (Relay* it : open) it->OnShutdownLimit();
+}
+
 void FrontDaemon::CheckShutdown() {
   absl::Time now = loop_.Now();
   RefuseLateStreams(now);
-  if (now >= shutdown_->end_requests_at()) {
-    loop_.Stop();
-    return;
-  }
   if (now < shutdown_->listen_until()) return;
   clients_.StopListening();
   clients_.CloseIdle();
+  if (now >= shutdown_->end_requests_at() && !relays_.empty()) {
+    EndOpenRequests();
+    // Their answers are sent by the next turns of the loop.
+    return;
+  }
+  if (now >= shutdown_->exit_at()) {
+    loop_.Stop();
+    return;
+  }
   if (relays_.empty() && clients_.open_connections() == 0) loop_.Stop();
 }
 
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -308,20 +308,23 @@
 }
 
 void PlainRelay::OnTimeout() {
-  bool ran = runs_ > 0;
-  if (!ran || attempts_.empty()) {
-    CancelAll();
-    RespondWithError({ran ? 504 : 503, "timeout"});
-    return;
+  for (const auto& it : attempts_) {
+    context().backends.ReportFailure(it.second.backend, Now());
   }
+  EndAsOpen("timeout");
+}
+
+void PlainRelay::OnShutdownLimit() { EndAsOpen("shutdown_limit"); }
+
+void PlainRelay::EndAsOpen(absl::string_view reason) {
+  bool ran = runs_ > 0;
   bool all_unsent = runs_ == attempts_.size();
   for (const auto& it : attempts_) {
     all_unsent = all_unsent && context().client.IsUnsent(it.second.call);
-    context().backends.ReportFailure(it.second.backend, Now());
-    ReportLostRun(it.second, "timeout", /*is_closed=*/false);
+    ReportLostRun(it.second, reason, /*is_closed=*/false);
   }
   CancelAll();
-  RespondWithError({all_unsent ? 503 : 504, "timeout"});
+  RespondWithError({ran && !all_unsent ? 504 : 503, reason});
 }
 
 }  // namespace chervilwick
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -400,19 +400,19 @@
   Relay::RespondWithError({503, "stopping", retry_after});
 }
 
-void StreamRelay::OnTimeout() {
-  AbandonCall("timeout");
+void StreamRelay::EndAsOpen(absl::string_view reason) {
+  AbandonCall(reason);
   context().scheduler.Withdraw(admitted().id);
   bool unsent = call_.value() != 0 && context().client.IsUnsent(call_);
   CancelCall();
   FreeHandle();
   if (lifecycle_.is_streaming()) {
-    AbortStream("timeout");
+    AbortStream(reason);
     return;
   }
   uint32_t runs = lifecycle_.runs();
   bool never_ran = runs == 0 || (runs == 1 && unsent);
-  Relay::RespondWithError({never_ran ? 503 : 504, "timeout"});
+  Relay::RespondWithError({never_ran ? 503 : 504, reason});
 }
 
 }  // namespace chervilwick
--- a/unittests/front/stop_limit_test.cc
+++ b/unittests/front/stop_limit_test.cc
@@ -11,6 +11,8 @@
 namespace chervilwick {
 namespace {
 
+using Fault = PlatformEngine::Fault;
+
 constexpr absl::Duration kLimit = absl::Seconds(4);
 
 void SetEventTime(TestDeployment& it, absl::Duration time) {
@@ -63,6 +65,29 @@
   CHECK(late->body == StreamEvents(1, 8));
 }
 
+TEST_CASE("what is open at the limit of a stop gets its answer",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = absl::Seconds(2);
+  SetEventTime(it, absl::Milliseconds(400));
+  it.SetFaults({"s1", "s2"}, Fault::kNeverRespond);
+  it.Start();
+  auto call = it.SendRequest("POST", "/book/x", "", 3000);
+  auto stream = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(200));
+  absl::Time began = it.loop.Now();
+  it.front->BeginShutdown();
+  it.loop.RunFor(absl::Seconds(3));
+  absl::Duration took = it.loop.Now() - began;
+  CHECK(call->status == 504);
+  CHECK(call->is_complete);
+  CHECK(stream->status == 200);
+  CHECK_FALSE(stream->is_complete);
+  // The rules leave the last sixth of the limit for this.
+  CHECK(took > absl::Seconds(2) * 5 / 6);
+  CHECK(took < absl::Seconds(2));
+}
+
 TEST_CASE("a waiting stream that would be cut by a stop is refused early",
           "[front][stop]") {
   TestDeployment it;
