Net: a slow reader gets the whole answer before its connection is closed

The rest of an answer was lost where the client read it slowly: 2 s after the last answer of a connection, that is of every answer of a stopping front; at the idle timeout of a kept connection; and at once when a stopping server closed its idle connections.

Cause: the linger time, the idle timeout and CloseIdle took a connection as done once its answer had been handed to the output buffer.

Fix: linger and idle time begin when the output has been sent; until then a timer asks every 6 s (output_timeout) whether the client took anything, and cuts it off if not (counted as a stalled client). A connection with output, or with bytes that have been read and not parsed, is not idle. What a client sends after its last request is drained also while the answer is being sent, so that the close does not become a reset.

--- a/include/chervilwick/net/http_server.h
+++ b/include/chervilwick/net/http_server.h
@@ -37,6 +37,9 @@
   size_t max_buffered_bytes = size_t{24} << 20;
   // Output that a client has not taken before its connection is cut.
   size_t max_output_bytes = size_t{1} << 20;
+  // Time without progress after which a client that does not take its answer
+  // is cut off.
+  absl::Duration output_timeout = absl::Seconds(6);
 };
 
 // Serves one request at a time on each connection; what a client sends ahead
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -79,7 +79,8 @@
   ExchangeId exchange() const { return exchange_; }
   // Without a request, also one whose bytes the kernel holds.
   bool IsIdle() const {
-    return exchange_.value() == 0 && reader_.IsIdle() && !HasUnreadBytes();
+    return exchange_.value() == 0 && reader_.IsIdle() && !ending_ &&
+           OutputBytes() == 0 && !HasUnreadBytes();
   }
 
   void Respond(const HttpResponse& response) {
@@ -93,8 +94,7 @@
 
   void SendStream(absl::string_view bytes) {
     if (!bytes.empty()) Write(EncodeChunk(bytes));
-    evbuffer* output = bufferevent_get_output(buffers_);
-    if (evbuffer_get_length(output) > server_.limits_.max_output_bytes) {
+    if (OutputBytes() > server_.limits_.max_output_bytes) {
       // From the loop, not from inside the sender's call.
       stalled_ = true;
       timer_.Arm(absl::ZeroDuration());
@@ -120,7 +120,12 @@
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) Self(context).OnGone();
   }
 
+  size_t OutputBytes() const {
+    return evbuffer_get_length(bufferevent_get_output(buffers_));
+  }
+
   bool HasUnreadBytes() const {
+    if (evbuffer_get_length(bufferevent_get_input(buffers_)) != 0) return true;
     int n = 0;
     return ioctl(bufferevent_getfd(buffers_), FIONREAD, &n) == 0 && n > 0;
   }
@@ -133,6 +138,9 @@
 
   void ReadRequests() {
     evbuffer* input = bufferevent_get_input(buffers_);
+    // Unread bytes would turn the close into a reset that may overtake the
+    // answer.
+    if (ending_) evbuffer_drain(input, evbuffer_get_length(input));
     // A request that was sent ahead waits for the answer to the one before.
     while (exchange_.value() == 0 && !ending_ && !detached_) {
       size_t n = evbuffer_get_length(input);
@@ -225,7 +233,7 @@
     }
     reader_.Reset();
     reader_.SetMaxHeadBytes(server_.limits_.max_head_bytes);
-    timer_.Arm(server_.limits_.idle_timeout);
+    WaitForOutput();
     if (evbuffer_get_length(bufferevent_get_input(buffers_)) != 0) {
       // Not from here: the caller may still be inside on_request.
       bufferevent_trigger(buffers_, EV_READ, BEV_OPT_DEFER_CALLBACKS);
@@ -235,19 +243,26 @@
   // Closes once the output has been sent and the client has closed.
   void End() {
     ending_ = true;
-    timer_.Arm(kLingerTime);
+    evbuffer* input = bufferevent_get_input(buffers_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    WaitForOutput();
+  }
+
+  // Idle and linger time begin when the output has been sent.
+  void WaitForOutput() {
+    output_left_ = OutputBytes();
+    timer_.Arm(server_.limits_.output_timeout);
     AfterWrite();
   }
 
+  bool IsBetweenRequests() const {
+    return exchange_.value() == 0 && (ending_ || reader_.IsIdle());
+  }
+
   void AfterWrite() {
-    if (!ending_) return;
-    evbuffer* output = bufferevent_get_output(buffers_);
-    if (evbuffer_get_length(output) != 0) return;
-    shutdown(bufferevent_getfd(buffers_), SHUT_WR);
-    // Unread bytes would turn the close into a reset that may overtake the
-    // answer.
-    evbuffer* input = bufferevent_get_input(buffers_);
-    evbuffer_drain(input, evbuffer_get_length(input));
+    if (OutputBytes() != 0 || !IsBetweenRequests()) return;
+    timer_.Arm(ending_ ? kLingerTime : server_.limits_.idle_timeout);
+    if (ending_) shutdown(bufferevent_getfd(buffers_), SHUT_WR);
   }
 
   void OnTimeout() {
@@ -256,6 +271,15 @@
       OnGone();
       return;
     }
+    if (IsBetweenRequests() && OutputBytes() != 0) {
+      if (OutputBytes() < output_left_) {
+        WaitForOutput();
+        return;
+      }
+      ++server_.stalled_clients_;
+      server_.Remove(this);
+      return;
+    }
     if (exchange_.value() == 0 && !reader_.IsIdle() && !ending_) {
       keep_alive_ = false;
       Write(EncodeResponse(server_.RenderRejection(408), false));
@@ -279,6 +303,7 @@
   bufferevent* buffers_ = nullptr;
   HttpRequest request_;
   size_t counted_bytes_ = 0;
+  size_t output_left_ = 0;  // when the timer was armed
   ExchangeId exchange_;
   bool keep_alive_ = true;
   bool ending_ = false;
