Soak: stalls of a busy host, which excuse nothing, and series of them

A host with a share of a processor stands still for under a second as a matter of course; with a pause as an excuse, cuts of silent streams counted as excused. Engines of plain services now end every other connection, so that fronts make new ones.

--- a/scripts/soak/client.py
+++ b/scripts/soak/client.py
@@ -164,7 +164,7 @@
                 return
             if request.kind == "note":
                 request.last = 0
-            await asyncio.sleep(min(wait, left / 3))
+            await asyncio.sleep(min(max(wait, 0.05), left / 3))
 
     async def main(self):
         # The loop itself holds only a weak reference.
--- a/scripts/soak/peer.py
+++ b/scripts/soak/peer.py
@@ -23,7 +23,8 @@
                 first, headers = await wire.read_head(reader)
                 body = await wire.read_body(reader, headers, until_close=False)
                 method, target, _ = first.split(" ")
-                await handler(method, target, headers, body, reader, writer)
+                if await handler(method, target, headers, body, reader, writer):
+                    return
         except (wire.WireError, *wire.BROKEN):
             pass
         finally:
@@ -220,7 +221,8 @@
                            fence=order.get("fence"), stage=order.get("stage"))
             if order.get("stage") != self.stage and not self.switching:
                 self.task = asyncio.create_task(self.switch(order["stage"]))
-            return self.reply(writer, headers, 202)
+            self.reply(writer, headers, 202)
+            return False
         if target.startswith("/chervilwick/"):
             report = {"stage": self.stage, "models": [], "busy": self.switching,
                       "seq": self.orders, "queued": 0, "running": self.running,
@@ -245,7 +247,7 @@
                 self.log.write("end", id=request, engine=self.args.id, how="gone")
                 work.cancel()
                 raise ConnectionError("the caller has gone")
-            work.result()
+            return work.result()
         finally:
             self.running -= 1
 
@@ -269,19 +271,23 @@
         self.log.write("run", id=request, engine=self.args.id, run=stamp,
                        last=headers.get("last-event-id"))
         how, status = "done", 200
+        # Some answers end their connection, so that callers make new ones.
+        closes = not self.stage and self.runs % 2 == 1
         if not self.stage:
             seconds = float(query.get("time", 0.01))
             await asyncio.sleep(min(seconds, max(end - time.monotonic(), 0)))
             status = 500 if query.get("fault") == "fail" else 200
             if time.monotonic() > end:
                 status, how = 504, "deadline"
-            text = f"{request} {stamp} {method_hash(body)}"
-            self.reply(writer, headers, status, text.encode(), X_Response_Stamp=stamp)
+            text = f"{request} {stamp} {sum(body) % 65521}"
+            self.reply(writer, headers, status, text.encode(), X_Response_Stamp=stamp,
+                       Connection="close" if closes else "keep-alive")
         else:
             how = await self.stream(request, stamp, query, headers, writer, end)
         self.log.write("end", id=request, engine=self.args.id, how=how, status=status)
         if how == "broke":
             writer.transport.abort()
+        return closes or how != "done"
 
     async def stream(self, request, stamp, query, headers, writer, end):
         count, gap = int(query["events"]), float(query["gap"])
@@ -305,10 +311,6 @@
         return "done"
 
 
-def method_hash(body):
-    return sum(body) % 65521
-
-
 async def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--kind", required=True, choices=["store", "engine"])
--- a/scripts/soak/plan.py
+++ b/scripts/soak/plan.py
@@ -2,7 +2,7 @@
 
 import random
 
-PROFILES = ("calm", "stops", "pauses", "mixed")
+PROFILES = ("calm", "stops", "stalls", "busy", "mixed")
 GAPS = ([0.06], [0.2], [1.0], [1.4], [0.06, 0.2, 1.0, 1.4])
 LENGTHS = ([2.4], [2.0, 5.0, 8.0], [8.0])
 MIXES = ([1, 1, 1, 1], [2, 2, 10, 1], [1, 1, 2, 8])
@@ -19,10 +19,10 @@
     traffic.update({key: value for key, value in fixed.items() if value is not None})
     actions = []
     last = max(FIRST_S, seconds - CALM_S)
-    if profile in ("stops", "mixed"):
+    if profile in ("stops", "busy", "mixed"):
         actions += stops(rng, fronts, last)
-    if profile in ("pauses", "mixed"):
-        actions += pauses(rng, fronts, last)
+    if profile in ("stalls", "busy", "mixed"):
+        actions += stalls(rng, fronts, last)
     if profile == "mixed":
         actions = rng.sample(actions, len(actions) // 2)
         actions += others(rng, fronts, engines, last)
@@ -43,15 +43,21 @@
     return out
 
 
-def pauses(rng, fronts, last):
-    """Each front stands still for 220 to 820 ms every few seconds."""
+def stalls(rng, fronts, last):
+    """Each front now and then doesn't run for a while, as on a busy host. Some
+    get the processor for a few milliseconds at a time for seconds."""
     out = []
     for front in range(fronts):
         t = FIRST_S + rng.uniform(0, 2)
         while t < last:
-            out.append(action(t, "pause", f"front-{front}",
-                              seconds=round(rng.uniform(0.22, 0.82), 2)))
-            t += rng.uniform(1.0, 4.0)
+            who = f"front-{front}"
+            if rng.random() < 0.3:
+                out.append(action(t, "throttle", who, seconds=round(rng.uniform(1, 3), 2),
+                                  off=round(rng.uniform(0.1, 0.3), 2),
+                                  on=round(rng.uniform(0.003, 0.03), 3)))
+            else:
+                out.append(action(t, "stall", who, seconds=round(rng.uniform(0.22, 0.82), 2)))
+            t += out[-1]["seconds"] + rng.uniform(1.0, 4.0)
     return out
 
 
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -234,17 +234,14 @@
             self.log.write("planned", what="config", who=who)
         elif what == "link":
             await self.play_link(action)
+        elif what in ("pause", "stall", "throttle"):
+            await self.play_pause(action, target)
         elif target.busy:
             return
         elif what == "hup":
             self.write_settings(self.fronts.index(who), who, f"# {time.monotonic()}\n")
             self.log.write("planned", what="hup", who=who)
             target.signal(signal.SIGHUP)
-        elif what == "pause":
-            target.signal(signal.SIGSTOP)
-            await asyncio.sleep(action["seconds"])
-            target.signal(signal.SIGCONT)
-            self.fault("pause", who, begin)
         else:
             target.busy = True
             if what == "term":
@@ -261,6 +258,17 @@
             if what == "kill" or who in self.engines:
                 self.fault("down", who, end)
 
+    async def play_pause(self, action, target):
+        begin, off = time.monotonic(), action.get("off", action["seconds"])
+        while time.monotonic() < begin + action["seconds"]:
+            target.signal(signal.SIGSTOP)
+            await asyncio.sleep(off)
+            target.signal(signal.SIGCONT)
+            await asyncio.sleep(action.get("on", 0))
+        # A host that is busy for less than a second is no excuse.
+        if action["what"] != "stall":
+            self.fault(action["what"], action["who"], begin)
+
     async def play_link(self, action):
         begin, link = time.monotonic(), action["who"]
         machine = link.replace("clients>", "").replace(">store", "")
@@ -333,11 +341,12 @@
     counts = judge.summary()
     whole = sum(n for key, n in counts.items() if key.endswith(" whole"))
     total = sum(counts.values())
+    cut = sum(n for key, n in counts.items() if key.endswith(" closed"))
     if whole * 4 < total or not total:
         broken["UNSERVED"] = [f"{whole} of {total} answers are whole"]
     verdict = "FAIL " + " ".join(f"{rule}={len(it)}" for rule, it in sorted(broken.items()))
     print(f"seed {run.seed} {run.args.profile}: {verdict if broken else 'ok'}; "
-          f"{whole} of {total} whole, {len(run.plan['actions'])} faults, {seconds:.0f} s")
+          f"{whole} of {total} whole, {cut} cut, {len(run.plan['actions'])} faults, {seconds:.0f} s")
     if broken or run.args.verbose:
         print("  traffic:", json.dumps(run.plan["traffic"]))
         for it in run.plan["actions"] if broken else []:
