--- a/scripts/soak/checker.py
+++ b/scripts/soak/checker.py
@@ -31,6 +31,7 @@
         self.faults = collections.defaultdict(list)
         self.terms = collections.defaultdict(list)
         self.engine_exits = {}
+        self.refused = collections.defaultdict(list)  # (front, client's port): times
         for it in sorted(records, key=lambda it: it["t"]):
             self.take(it)
 
@@ -53,6 +54,8 @@
             for run in self.runs[it["id"]]:
                 if run["engine"] == it["engine"] and run["end"] is None:
                     run.update(end=it["t"], how=it["how"], status=it.get("status"))
+        elif kind == "refused":
+            self.refused[it["link"].replace("clients>", ""), it["port"]].append(it["t"])
         elif kind == "fault":
             self.faults[it["who"]].append((it["t"], it["t1"], it["what"]))
         elif kind == "planned" and it["what"] == "term":
@@ -65,7 +68,7 @@
     def take_exit(self, it):
         if it["who"].startswith("engine"):
             self.engine_exits[it["engine"]] = it["t"]
-        elif it["how"] == "by itself":
+        if it["how"] == "by itself":
             self.flag("ENDED", f"{it['who']} ended by itself with {it['code']}")
         elif it["how"] == "limit":
             if self.harmed(it["who"], it["since"], it["t"]):
@@ -120,7 +123,9 @@
             if not at_work or send["kind"] != "report" or old["engine"] == new["engine"]:
                 continue
             if (self.harmed(send["front"], send["t"], limit)
-                    or self.engine_harmed(old["engine"], send["t"], limit)):
+                    or self.engine_harmed(old["engine"], send["t"], limit)
+                    # A request that an engine reads late is no new send.
+                    or self.engine_harmed(new["engine"], send["t"], limit)):
                 self.excused["still at work after a resume, impaired"] += 1
             else:
                 self.flag("TWICE", f"{ident} goes on at {new['engine']} while "
@@ -177,7 +182,9 @@
                     if it <= end <= it + self.bounds["grace"] + 1), default=None)
         if term is not None:
             text += f", {end - term:.2f} s after SIGTERM, sent {begin - term:+.2f} s"
-        if not arrivals and end - begin <= slack:
+        if any(begin - 1 < it < end + 1 for it in self.refused[front, send.get("port")]):
+            reason = "connection refused"
+        elif not arrivals and end - begin <= slack:
             reason = "crossed a close"
         elif self.harmed(front, begin, end):
             reason = f"{kind} cut, front impaired"
--- a/scripts/soak/client.py
+++ b/scripts/soak/client.py
@@ -96,6 +96,7 @@
         if request.last:
             headers["Last-Event-Id"] = str(request.last)
         self.log.write("send", id=ident, front=front, kind=request.kind, kept=is_kept,
+                       port=writer.get_extra_info("sockname")[1],
                        deadline=left, attempt=request.attempt, path=request.path,
                        method=request.method, last=request.last, events=request.events,
                        sum=sum(body) % 65521)
--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -1,6 +1,6 @@
 """A TCP proxy on loopback, in a process of its own, that impairs its links.
 
-Arguments are links NAME=LISTEN>TARGET. Standard input has a JSON line for each
+Arguments are the log and links NAME=LISTEN>TARGET. Standard input has a JSON line for each
 change: link, mode (ok, delay, hold, reset or silent), ms for delays and way
 (up, down or both) for hold and silent. `hold` keeps bytes until the next
 change; `silent` drops for good what comes over the connections that exist.
@@ -12,12 +12,14 @@
 import socket
 import sys
 
+import wire
+
 CHUNK = 65536
 
 
 class Link:
-    def __init__(self, target):
-        self.target = target
+    def __init__(self, name, target, log):
+        self.name, self.target, self.log = name, target, log
         self.mode, self.way, self.delay = "ok", "both", 0.0
         self.pairs = set()
         self.changed = asyncio.Event()
@@ -90,6 +92,8 @@
         host, port = link.target.split(":")
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
     except OSError:
+        # Its client can't tell this from a close after the request was read.
+        link.log.write("refused", link=link.name, port=writer.get_extra_info("peername")[1])
         writer.transport.abort()
         return
     pair = Pair(link, (writer, far_writer))
@@ -109,11 +113,11 @@
 
 
 async def main():
-    links = {}
-    for word in sys.argv[1:]:
+    links, log = {}, wire.Log(sys.argv[1])
+    for word in sys.argv[2:]:
         name, addresses = word.split("=")
         listen, target = addresses.split(">")
-        link = links[name] = Link(target)
+        link = links[name] = Link(name, target, log)
         host, port = listen.split(":")
         await asyncio.start_server(
             lambda reader, writer, link=link: on_connection(link, reader, writer),
--- a/unittests/soak/checker_test.py
+++ b/unittests/soak/checker_test.py
@@ -95,6 +95,12 @@
         records.run("a", "report", 101.0, 102.0, "engine-2-1")
         self.check(records.fault("engine-1", 100.5, 101.5))
 
+    def test_request_that_a_frozen_engine_reads_late(self):
+        records = Records().send("a", "report").run("a", "report", 101.5, 104.0)
+        records.run("a", "report", 102.0, 102.02, "engine-2-1", "gone")
+        self.check(records, "TWICE")
+        self.check(records.fault("engine-2", 100.0, 101.99))
+
     def test_refusal_of_a_booking_that_ran_before_or_later(self):
         for status in (408, 421, 429, 503):
             for ran in (100.05, 104.0):
@@ -149,6 +155,12 @@
         records = Records().term(99.0).send("a", "book").run("a", "book", 100.05)
         self.check(records.answer("a", 100.1, "closed", status=0, stamp=None), "LOST-STOP")
 
+    def test_refused_connection_is_no_cut(self):
+        records = Records().term(99.0).send("a", "book", port=4000)
+        records.answer("a", 100.5, "closed", status=0, stamp=None)
+        self.check(records.add("refused", 100.4, link="clients>front-1", port=4000), "LOST-STOP")
+        self.check(records.add("refused", 100.4, link="clients>front-0", port=4000))
+
     def repeats(self, requests, extra, spread=5.0):
         records = Records()
         for it in range(requests):
