Net: a connection taken in at the end of a stop may send its first request

What callers saw: a connection that was opened just before a stopping front closed its listener was closed unused, though its request was one round trip away.

Cause: a connection without a request counted as idle from its first moment, and a stop closes the listener and the idle connections in one step.

Evidence, a test that opens a connection, closes the listener, closes the idle connections three times in 300 ms, and then sends a request in two parts: before, the connection is gone at the first byte (send fails); after, 200. A connection that never sends anything is closed within 2 s, before and after.

Fix: a connection that has sent no request is idle only after 1 s. A kept connection on which the client sends while it is closed: what the kernel or the server holds is served; a request that is still on its way is reset unread, which tells the client that it has not run.

--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -27,6 +27,9 @@
 constexpr absl::Duration kClientSilence = absl::Seconds(6);
 // Time for the last bytes to reach a client before its connection is closed.
 constexpr absl::Duration kLingerTime = absl::Seconds(2);
+// Time for a new connection to send its first request before it is closed as
+// idle.
+constexpr absl::Duration kFirstRequestTime = absl::Seconds(1);
 
 bool HasOneHost(const HttpHead& head) {
   int hosts = 0;
@@ -53,7 +56,8 @@
         client_(client),
         reader_(HttpReader::Role::kRequest, server.limits_.max_head_bytes,
                 [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
-        timer_(server.loop_, [this] { OnTimeout(); }) {
+        timer_(server.loop_, [this] { OnTimeout(); }),
+        opened_(server.loop_.Now()) {
     SetTcpOptions(socket, kClientSilence);
     buffers_ = bufferevent_socket_new(server.loop_.base(), socket,
                                       BEV_OPT_CLOSE_ON_FREE);
@@ -77,8 +81,12 @@
   }
 
   ExchangeId exchange() const { return exchange_; }
-  // Without a request, also one whose bytes the kernel holds.
+  // Without a request, also one whose bytes the kernel holds or that a new
+  // connection is about to send.
   bool IsIdle() const {
+    if (!has_sent_ && server_.loop_.Now() - opened_ < kFirstRequestTime) {
+      return false;
+    }
     return exchange_.value() == 0 && reader_.IsIdle() && !ending_ &&
            OutputBytes() == 0 && !HasUnreadBytes();
   }
@@ -171,6 +179,7 @@
   }
 
   void OnHead(HttpHead head) {
+    has_sent_ = true;
     timer_.Arm(server_.limits_.body_timeout);
     keep_alive_ = head.keep_alive;
     rejection_ = HasOneHost(head) ? 0 : 400;
@@ -305,6 +314,8 @@
   size_t counted_bytes_ = 0;
   size_t output_left_ = 0;  // when the timer was armed
   ExchangeId exchange_;
+  const absl::Time opened_;
+  bool has_sent_ = false;  // a request
   bool keep_alive_ = true;
   bool ending_ = false;
   bool stalled_ = false;  // takes its output too slowly
--- a/unittests/net/closing_test.cc
+++ b/unittests/net/closing_test.cc
@@ -144,5 +144,35 @@
   }
 }
 
+TEST_CASE("a connection just taken in may send its first request",
+          "[net][closing]") {
+  ClosingServer it;
+  int socket = ConnectRaw(it.address);
+  it.server.CloseAfterAnswers();
+  it.server.StopListening();
+  for (int n = 0; n < 3; ++n) {
+    it.server.CloseIdle();
+    it.loop.RunFor(kSoon);
+  }
+  it.Send(socket, "GET /1 HTTP/1.1\r\n");
+  it.server.CloseIdle();
+  it.Send(socket, "Host: h\r\n\r\n");
+  CHECK(absl::StrContains(ReadAvailable(socket), "200 OK"));
+  close(socket);
+}
+
+TEST_CASE("a connection without a request does not hold up a stop for long",
+          "[net][closing]") {
+  ClosingServer it;
+  int socket = it.Connect();
+  it.server.StopListening();
+  for (int n = 0; n < 20; ++n) {
+    it.server.CloseIdle();
+    it.loop.RunFor(kSoon);
+  }
+  CHECK(it.server.open_connections() == 0);
+  close(socket);
+}
+
 }  // namespace
 }  // namespace chervilwick
