Streams: a silent run goes on until its replacement can be sent

Callers saw resumable streams end without a whole answer although their engine was at work, and prompts refused with 503 while an engine read them.

Cause: a stream whose engine had sent nothing for 1.4 s was cancelled first; then the retry budget, the quarantine and the scheduler were asked, and each could refuse. The prompt call was given up likewise after its time limit. Streams that may not be resumed waited and ended well. Where engines pace slowly, all resumable streams drew on the budget at once, used it up, and the rest were cut. A stopping front is hit hardest: no new requests come, so its share of the budget by requests is gone within one window.

Now the open call goes on while another engine is sought: the place, the quarantine and the budget come first, the prompt is read, and only when the stream is sent to the other engine is the first run cancelled and its place released. Data from the first engine withdraws the replacement; a refusal leaves the run going and is asked for again after 500 ms, until the stall limit that holds for other streams. A run that fails meanwhile continues with the replacement. A replacement by way of a prefill engine starts only if the budget has both retries. A prompt call is replaced in the same way.

An engine is silent after twice the longest gap between events of the run (at least 1.4 s, at most the time within which the client must get an event): events every 1.4 s no longer draw on the budget. The head of a response counts as data.

A resumed stream (or one that may have run) that needs a retry while the budget is empty asks every 100 ms for as long as its client waits; it was cut at once. A retry whose call reached no engine is returned and taken anew, so that it is charged when the send arrives.

A timeout during a resumed stream's prompt call was answered 503 if that call was unsent, although the first run may have run; only an unsent decode call counts now.

The new invariants fail when a run is cancelled as soon as a replacement is sought, and when the retry is not taken.

Tests: OnDecodeSilent and its verdicts are gone, the timer is the lifecycle's own. The two cases of them are replaced by those of stream_replacement_test.cc, which check the same limits (never resumed if not resumable, the stall limit, a restart by an event, 1.4 s) with the timer that runs in use. The random test keeps its invariants and adds: no call given up for an ending other than a stall, one open call of a stage, runs within the attempts.

--- a/include/chervilwick/dispatch/retry_quota.h
+++ b/include/chervilwick/dispatch/retry_quota.h
@@ -34,6 +34,8 @@
   void OnRequest(const ServiceName& service, absl::Time now);
   // Takes one retry from the quota. Returns false if the limit is reached.
   bool TryTake(const ServiceName& service, absl::Time now);
+  // Returns a retry that was taken at `taken` and not used.
+  void Return(const ServiceName& service, absl::Time taken);
   // Returns the number of retries that are allowed now.
   double RetriesLeft(const ServiceName& service, absl::Time now);
 
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -83,6 +84,8 @@
   // Takes one retry from the service's retry budget. Returns false if the
   // budget is used up.
   bool TakeRepeat();
+  // Returns the retry that TakeRepeat() took last: its call was not sent.
+  void ReturnRepeat();
   bool is_finished() const { return is_finished_; }
   FrontContext& context() const { return context_; }
 
@@ -93,6 +96,7 @@
   AdmittedRequest admitted_;
   Finished finished_;
   Timer timeout_;
+  std::vector<absl::Time> repeats_taken_;
   bool is_finished_ = false;
 };
 
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -38,15 +38,31 @@
   absl::Duration EventTimeout() const override;
   absl::Duration HandleLifetime() const override;
   bool TakeRepeat() override;
-  void SendPrompt(const BackendName& engine, absl::Duration patience) override;
+  void ReturnRepeat() override;
+  bool HasRepeats(uint32_t repeats) override;
+  void SendPrompt(const BackendName& engine) override;
   void SendDecode(const BackendName& engine, bool with_handle) override;
+  bool CancelPrompt(absl::string_view sign) override;
+  bool CancelDecode(absl::string_view sign) override;
+  void ArmTimer(absl::Duration delay) override;
   void FreeHandle() override;
+  void OnSilent(StreamStage stage, const BackendName& engine) override;
+  void OnReplacement(ReplacementStep step, absl::string_view reason) override;
   void OnResumed() override;
   void End(const StreamEnding& ending) override;
   void WakeScheduler() override;
 
-  void Call(const BackendState& engine, const ForwardOptions& forward,
-            size_t max_body_bytes, CallHandler handler);
+  // An open call to an engine and the part of its response received so far.
+  struct EngineCall {
+    CallId id;
+    absl::Time started;
+    HttpHead head;
+    std::string body;  // of a response that is not a stream
+  };
+
+  void Call(EngineCall& call, const BackendState& engine,
+            const ForwardOptions& forward, size_t max_body_bytes,
+            CallHandler handler);
   void OnPromptEvent(CallEvent event);
   void OnPromptEnd();
   void OnPromptFailed(absl::string_view why, PromptFailure kind);
@@ -57,13 +73,12 @@
   void OnOversizedAnswer();
   void OnDecodeEnd();
   void OnDecodeBroken(const CallFailure& failure);
-  void OnIdleTimeout();
-  // Reports the open call, if it has been sent, as a lost run. The caller
-  // cancels it. `sign` says why the complete response will not be received.
-  void AbandonCall(absl::string_view sign);
-  // Clears the state of a call that has ended.
-  void EndCall();
-  void CancelCall();
+  bool WasSent(const EngineCall& call) const;
+  // Reports the open calls that have been sent as lost runs. The caller cancels
+  // them. `sign` says why their complete responses will not be received.
+  void AbandonCalls(absl::string_view sign);
+  void Cancel(EngineCall& call);
+  void CancelCalls();
   // Closes the client's connection so that the response can't appear complete.
   void AbortStream(absl::string_view reason);
 
@@ -74,13 +89,11 @@
   };
 
   StreamLifecycle lifecycle_;
-  CallId call_;
-  HttpHead head_;
-  std::string body_;  // of a response that is not a stream
+  EngineCall prompt_call_;
+  EngineCall decode_call_;
   std::optional<PromptHandle> handle_;
-  absl::Time call_started_;
   EventSplitter events_;
-  Timer idle_timer_;
+  Timer timer_;
 };
 
 }  // namespace chervilwick
--- a/lib/dispatch/retry_quota.cc
+++ b/lib/dispatch/retry_quota.cc
@@ -56,4 +56,10 @@
   return true;
 }
 
+void RetryQuota::Return(const ServiceName& service, absl::Time taken) {
+  std::deque<absl::Time>& repeats = counts_[service].repeats;
+  auto it = std::lower_bound(repeats.begin(), repeats.end(), taken);
+  if (it != repeats.end() && *it == taken) repeats.erase(it);
+}
+
 }  // namespace chervilwick
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -16,11 +16,8 @@
 // Time without data after which a failure of the decode engine is reported, so
 // that the scheduler avoids it.
 constexpr absl::Duration kSilenceThreshold = absl::Milliseconds(700);
-// Time without data after which a resumable stream is resumed elsewhere.
-constexpr absl::Duration kResumeThreshold = absl::Milliseconds(1400);
-// Maximum sends of one stream by stage, including refused ones.
+// Maximum decode calls of one stream, including refused ones.
 constexpr uint32_t kMaxDecodeSends = 4;
-constexpr uint32_t kMaxPromptSends = 3;
 // Expected output, as a multiple of the client's estimate.
 constexpr double kOutputMargin = 1.2;
 // A client's timeout for an event is assumed to be the longest of a fixed time
@@ -67,10 +64,6 @@
 
 absl::Duration StreamLifecycle::SilenceThreshold() { return kSilenceThreshold; }
 
-absl::Duration StreamLifecycle::ResumeDelay() {
-  return kResumeThreshold - kSilenceThreshold;
-}
-
 StreamJob StreamLifecycle::MakeJob(absl::Time now) const {
   StreamJob job;
   job.id = terms_.id;
@@ -98,16 +91,19 @@
         *handle_made_ + port_.HandleLifetime() * kUsableHandleShare;
   }
   job.excluded = excluded_;
+  if (phase_ == Phase::kDecode) job.excluded.insert(decode_engine());
+  if (phase_ == Phase::kPrompt) job.excluded.insert(prompt_engine());
   return job;
 }
 
 void StreamLifecycle::Submit(absl::Time now) {
   phase_ = Phase::kWaiting;
+  ask_at_ = absl::InfiniteFuture();
   if (RefuseIfQuarantined(now)) return;
   std::optional<StreamRefusal> refusal =
       services_.scheduler.Submit(MakeJob(now), now);
   if (refusal) {
-    OnRefused(*refusal);
+    End(ReasonText(refusal->reason), refusal->retry_after);
     return;
   }
   port_.WakeScheduler();
@@ -127,18 +123,33 @@
   port_.End(ending);
 }
 
-void StreamLifecycle::OnRefused(const StreamRefusal& refusal) {
-  End(ReasonText(refusal.reason), refusal.retry_after);
+void StreamLifecycle::OnRefused(const StreamRefusal& refusal, absl::Time now) {
+  if (phase_ == Phase::kWaiting) {
+    End(ReasonText(refusal.reason), refusal.retry_after);
+  } else if (replacement_ == Replacement::kQueued) {
+    OnReplacementRefused(ReasonText(refusal.reason), now);
+  }
+}
+
+StreamLifecycle::Step StreamLifecycle::MakeStep(
+    const StreamPlacement& placement, absl::Time now) {
+  Step step;
+  step.placement = placement;
+  step.holds_prompt_place = placement.prompt_tokens > 0;
+  step.holds_decode_place = true;
+  const BackendState* decode = services_.backends.Find(placement.decode);
+  step.placed_on_suspect = decode != nullptr && decode->IsSuspect(now);
+  step.started = now;
+  return step;
 }
 
 void StreamLifecycle::OnPlaced(const StreamPlacement& placement,
                                absl::Time now) {
-  placement_ = placement;
-  holds_prompt_place_ = placement.prompt_tokens > 0;
-  holds_decode_place_ = true;
-  const BackendState* decode = services_.backends.Find(placement.decode);
-  placed_on_suspect_ = decode != nullptr && decode->IsSuspect(now);
-  step_started_ = now;
+  if (phase_ != Phase::kWaiting) {
+    OnReplacementPlaced(placement, now);
+    return;
+  }
+  step_ = MakeStep(placement, now);
   if (placement.prefill) {
     StartPrompt(now);
   } else {
@@ -146,90 +157,112 @@
   }
 }
 
+bool StreamLifecycle::IsQuarantined(absl::Time now) const {
+  return services_.suspects.IsQuarantined(terms_.fingerprint, now);
+}
+
 bool StreamLifecycle::RefuseIfQuarantined(absl::Time now) {
   absl::Duration left =
       services_.suspects.QuarantineLeft(terms_.fingerprint, now);
   if (left == absl::ZeroDuration()) return false;
-  Release();
+  Release(step_);
   DropHandle();
-  OnRefused({terms_.id, StreamRefusalReason::kQuarantined, left});
+  End(ReasonText(StreamRefusalReason::kQuarantined), left);
   return true;
 }
 
 void StreamLifecycle::RecheckQuarantine(absl::Time now) {
-  if (phase_ != Phase::kWaiting) return;
-  if (!services_.suspects.IsQuarantined(terms_.fingerprint, now)) return;
+  if (phase_ != Phase::kWaiting || !IsQuarantined(now)) return;
   services_.scheduler.Withdraw(terms_.id);
   RefuseIfQuarantined(now);
 }
 
-bool StreamLifecycle::AcquireSendBudget() {
-  // A retry taken for a call that reached no engine is used for the next call.
-  if (counted_sends_ <= retries_taken_) return true;
-  if (port_.TakeRepeat()) {
-    ++retries_taken_;
-    return true;
-  }
-  Release();
-  DropHandle();
-  OnRefused(
-      {terms_.id, StreamRefusalReason::kNoRetryBudget, kRetryAfterRefusal});
-  return false;
+absl::Duration StreamLifecycle::PromptTimeout(const Step& step) {
+  return step.placement.prefill_estimate * kPromptTimeoutFactor +
+         kPromptTimeoutMargin;
 }
 
-void StreamLifecycle::StartPrompt(absl::Time now) {
-  if (RefuseIfQuarantined(now) || !AcquireSendBudget()) return;
+void StreamLifecycle::SendPrompt(Step& step, absl::Time now) {
   // The first prompt call counts against the budget only if it is refused.
   if (prompt_sends_ > 0) ++counted_sends_;
-  phase_ = Phase::kPrompt;
   ++prompt_sends_;
-  const BackendState* prefill = services_.backends.Find(*placement_->prefill);
-  engine_started_ms_ = prefill == nullptr ? 0 : prefill->record.born_unix_ms;
-  port_.SendPrompt(*placement_->prefill,
-                   placement_->prefill_estimate * kPromptTimeoutFactor +
-                       kPromptTimeoutMargin);
+  step.started = now;
+  const BackendName& engine = *step.placement.prefill;
+  const BackendState* prefill = services_.backends.Find(engine);
+  step.engine_started_ms =
+      prefill == nullptr ? 0 : prefill->record.born_unix_ms;
+  ArmTimer(now);
+  port_.SendPrompt(engine);
+}
+
+void StreamLifecycle::StartPrompt(absl::Time now) {
+  if (RefuseIfQuarantined(now)) return;
+  if (!TakeSendBudget()) {
+    OnNoBudget(now);
+    return;
+  }
+  phase_ = Phase::kPrompt;
+  silence_reported_ = false;
+  ask_at_ = now + PromptTimeout(*step_);
+  SendPrompt(*step_, now);
 }
 
 void StreamLifecycle::OnPromptRead(absl::Time now) {
-  ReleasePrompt();
-  services_.backends.ReportSuccess(*placement_->prefill, now);
-  if (placement_->prefill_estimate > absl::ZeroDuration()) {
-    services_.scheduler.ObservePrompt(
-        absl::FDivDuration(now - step_started_, placement_->prefill_estimate));
+  Step& step = next_ ? *next_ : *step_;
+  if (phase_ == Phase::kPrompt) DropReplacement("prompt_read", now);
+  ReleasePrompt(step);
+  services_.backends.ReportSuccess(*step.placement.prefill, now);
+  absl::Duration estimate = step.placement.prefill_estimate;
+  absl::Duration taken = now - step.started;
+  if (estimate > absl::ZeroDuration() && taken < PromptTimeout(step)) {
+    services_.scheduler.ObservePrompt(absl::FDivDuration(taken, estimate));
   }
   handle_made_ = now;
-  StartDecode(now);
+  if (next_) {
+    ReplaceDecode(now);
+  } else {
+    StartDecode(now);
+  }
   port_.WakeScheduler();
 }
 
-void StreamLifecycle::OnPromptFailed(PromptFailure why, absl::Time now) {
-  BackendName prefill = *placement_->prefill;
+void StreamLifecycle::ReportPromptFailure(const Step& step, PromptFailure why,
+                                          absl::Time now) {
+  const BackendName& prefill = *step.placement.prefill;
   bool was_counted = prompt_sends_ > 1;
   switch (why) {
     case PromptFailure::kRefused:
       if (!was_counted) ++counted_sends_;
       services_.backends.ReportFull(prefill, now);
-      break;
+      return;
     case PromptFailure::kUnreachable:
-      if (was_counted) --counted_sends_;
+      if (was_counted) UncountSend();
       ReportUnreachable(prefill, now);
-      excluded_.insert(prefill);
       break;
     case PromptFailure::kClosed:
     case PromptFailure::kBroken:
-      ReportLost(prefill, why == PromptFailure::kClosed, now);
+      ReportLost(step, StreamStage::kPrompt, why == PromptFailure::kClosed,
+                 now);
       services_.backends.ReportFailure(prefill, now);
-      excluded_.insert(prefill);
       break;
   }
-  ReleasePrompt();
-  if (prompt_sends_ >= kMaxPromptSends) {
+  excluded_.insert(prefill);
+}
+
+void StreamLifecycle::OnPromptFailed(PromptFailure why, absl::Time now) {
+  if (next_) {
+    OnReplacementPromptFailed(why, now);
+    return;
+  }
+  ReportPromptFailure(*step_, why, now);
+  ReleasePrompt(*step_);
+  if (replacement_ == Replacement::kNone && prompt_sends_ >= kMaxPromptSends) {
     reads_at_decode_ = true;
     StartDecode(now);
     return;
   }
-  Release();
-  Submit(now);
+  Release(step_);
+  if (!TakeOverReplacement()) Submit(now);
 }
 
 bool StreamLifecycle::HasFreshHandle(absl::Time now) const {
@@ -237,63 +270,83 @@
          now - *handle_made_ < port_.HandleLifetime() * kUsableHandleShare;
 }
 
+bool StreamLifecycle::IsDecodeLost(const Step& step, absl::Time now) const {
+  const BackendState* decode = services_.backends.Find(step.placement.decode);
+  if (decode == nullptr || decode->pause_ends_at > now) return true;
+  return !step.placed_on_suspect && decode->IsSuspect(now);
+}
+
 void StreamLifecycle::StartDecode(absl::Time now) {
-  phase_ = Phase::kDecode;
-  const BackendState* decode = services_.backends.Find(placement_->decode);
-  // The engine may have been removed, or have requested a pause, while the
-  // prompt was read.
-  bool is_unusable = decode == nullptr || decode->pause_ends_at > now;
-  // If it was found unreachable, another engine can use the prompt's KV cache.
-  bool is_lost = !is_unusable && !placed_on_suspect_ && decode->IsSuspect(now);
-  if (is_unusable || is_lost) {
-    Release();
+  // Another engine can use the prompt's KV cache.
+  if (!step_->holds_decode_place || IsDecodeLost(*step_, now)) {
+    Release(step_);
     Submit(now);
     return;
   }
-  if (RefuseIfQuarantined(now) || !AcquireSendBudget()) return;
+  if (RefuseIfQuarantined(now)) return;
+  if (!TakeSendBudget()) {
+    OnNoBudget(now);
+    return;
+  }
+  SendDecode(now);
+}
+
+void StreamLifecycle::SendDecode(absl::Time now) {
+  phase_ = Phase::kDecode;
   ++counted_sends_;
   ++decode_sends_;
   ++runs_;
-  step_started_ = now;
-  engine_started_ms_ = decode->record.born_unix_ms;
-  port_.SendDecode(placement_->decode, HasFreshHandle(now));
+  step_->started = now;
+  const BackendName& engine = step_->placement.decode;
+  step_->engine_started_ms =
+      services_.backends.Find(engine)->record.born_unix_ms;
+  longest_gap_ = absl::ZeroDuration();
+  is_run_streaming_ = false;
+  OnAlive(now);
+  port_.SendDecode(engine, HasFreshHandle(now));
 }
 
 void StreamLifecycle::OnStreaming(absl::Time now) {
-  ReleasePrompt();
+  ReleasePrompt(*step_);
   last_event_ = now;
   handle_made_.reset();
   is_streaming_ = true;
+  is_run_streaming_ = true;
+  OnAlive(now);
 }
 
 void StreamLifecycle::OnProgress(absl::Time now) {
-  was_silent_ = false;
+  if (is_run_streaming_) {
+    longest_gap_ = std::max(longest_gap_, now - silent_since_);
+  }
   last_event_ = now;
-  services_.backends.ReportAlive(placement_->decode, now);
+  services_.backends.ReportAlive(decode_engine(), now);
+  OnAlive(now);
 }
 
 void StreamLifecycle::OnCompleted(absl::Time now) {
+  DropReplacement("completed", now);
   services_.suspects.ReportCompleted(terms_.fingerprint, now);
-  services_.scheduler.ObserveStream(now - step_started_);
-  services_.backends.ReportSuccess(placement_->decode, now);
+  services_.scheduler.ObserveStream(now - step_->started);
+  services_.backends.ReportSuccess(decode_engine(), now);
 }
 
 void StreamLifecycle::OnDecodeRefused(bool is_wrong_server, absl::Time now) {
   --runs_;
-  BackendName decode = placement_->decode;
+  BackendName decode = decode_engine();
   if (handle_made_ && ++handle_refusals_ > 1) {
     DropHandle();
     reads_at_decode_ = true;
   }
   services_.backends.ReportFull(decode, now);
   if (is_wrong_server) ReportUnreachable(decode, now);
-  Release();
+  Release(step_);
   excluded_.insert(decode);
   if (decode_sends_ >= kMaxDecodeSends) {
-    OnRefused({terms_.id, StreamRefusalReason::kNoEngines, kRetryAfterRefusal});
+    End(ReasonText(StreamRefusalReason::kNoEngines), kRetryAfterRefusal);
     return;
   }
-  Submit(now);
+  if (!TakeOverReplacement()) Submit(now);
 }
 
 bool StreamLifecycle::MayResume() const {
@@ -302,51 +355,41 @@
 }
 
 void StreamLifecycle::OnDecodeFailed(DecodeFailure why, absl::Time now) {
-  BackendName decode = placement_->decode;
+  BackendName decode = decode_engine();
   bool is_unreachable = why == DecodeFailure::kUnreachable;
   if (is_unreachable) {
     --runs_;
-    --counted_sends_;
+    UncountSend();
     ReportUnreachable(decode, now);
   } else {
     services_.backends.ReportFailure(decode, now);
-    ReportLost(decode, why == DecodeFailure::kClosed, now);
+    ReportLost(*step_, StreamStage::kDecode, why == DecodeFailure::kClosed,
+               now);
   }
-  Release();
+  Release(step_);
   excluded_.insert(decode);
   if (is_unreachable ? decode_sends_ < kMaxDecodeSends : MayResume()) {
     if (!is_unreachable) port_.OnResumed();
-    Submit(now);
+    if (!TakeOverReplacement()) Submit(now);
     return;
   }
   End("backend_broke_off", kRetryAfterRefusal);
 }
 
-StreamLifecycle::SilenceVerdict StreamLifecycle::OnDecodeSilent(
-    absl::Time now) {
-  services_.backends.ReportFailure(placement_->decode, now);
-  if (!MayResume()) {
-    bool is_stalled =
-        is_streaming_ && TimeUntilStall(now) <= absl::ZeroDuration();
-    return is_stalled ? SilenceVerdict::kEnd : SilenceVerdict::kIgnore;
-  }
-  if (was_silent_) return SilenceVerdict::kResume;
-  was_silent_ = true;
-  return SilenceVerdict::kWait;
-}
-
-void StreamLifecycle::OnAbandoned(absl::Time now) {
-  if (phase_ == Phase::kWaiting) return;
-  const StreamPlacement& placement = *placement_;
-  ReportLost(phase_ == Phase::kPrompt ? *placement.prefill : placement.decode,
+void StreamLifecycle::OnAbandoned(StreamStage stage, absl::Time now) {
+  ReportLost(stage == StreamStage::kPrompt ? PromptStep() : *step_, stage,
              /*is_closed=*/false, now);
 }
 
-void StreamLifecycle::ReportLost(const BackendName& engine, bool is_closed,
-                                 absl::Time now) {
-  services_.suspects.ReportLost({terms_.fingerprint, engine, engine_started_ms_,
-                                 step_started_, is_closed},
-                                now);
+void StreamLifecycle::ReportLost(const Step& step, StreamStage stage,
+                                 bool is_closed, absl::Time now) {
+  const BackendName& engine = stage == StreamStage::kPrompt
+                                  ? *step.placement.prefill
+                                  : step.placement.decode;
+  services_.suspects.ReportLost(
+      {terms_.fingerprint, engine, step.engine_started_ms, step.started,
+       is_closed},
+      now);
 }
 
 void StreamLifecycle::ReportUnreachable(const BackendName& engine,
@@ -355,32 +398,35 @@
   services_.suspects.ReportServerEnd(engine, now);
 }
 
-absl::Duration StreamLifecycle::TimeUntilStall(absl::Time now) const {
-  return last_event_ + terms_.stall_limit - now;
-}
-
 void StreamLifecycle::DropHandle() {
   if (!handle_made_) return;
   handle_made_.reset();
   port_.FreeHandle();
 }
 
-void StreamLifecycle::ReleasePrompt() {
-  if (holds_prompt_place_) services_.scheduler.ReleasePrompt(*placement_);
-  holds_prompt_place_ = false;
+void StreamLifecycle::ReleasePrompt(Step& step) {
+  if (!step.holds_prompt_place) return;
+  services_.scheduler.ReleasePrompt(step.placement);
+  step.holds_prompt_place = false;
+}
+
+void StreamLifecycle::ReleaseDecode(Step& step) {
+  if (!step.holds_decode_place) return;
+  services_.scheduler.ReleaseDecode(step.placement);
+  step.holds_decode_place = false;
 }
 
-void StreamLifecycle::Release() {
-  if (!placement_) return;
-  ReleasePrompt();
-  if (holds_decode_place_) services_.scheduler.ReleaseDecode(*placement_);
-  holds_decode_place_ = false;
+void StreamLifecycle::Release(std::optional<Step>& step) {
+  if (!step) return;
+  ReleasePrompt(*step);
+  ReleaseDecode(*step);
   port_.WakeScheduler();
 }
 
 void StreamLifecycle::Close() {
   services_.scheduler.Withdraw(terms_.id);
-  Release();
+  Release(step_);
+  Release(next_);
 }
 
 }  // namespace chervilwick
--- a/lib/emulator/client_watch.h
+++ b/lib/emulator/client_watch.h
@@ -14,7 +14,7 @@
 
 namespace chervilwick {
 
-// Calls back once for each silence that reaches a limit. Bytes restart it.
+// Calls back once for each silence that reaches a limit. Arming restarts it.
 class SilenceWatch {
  public:
   SilenceWatch(EventQueue& queue, std::function<void()> on_silence)
@@ -26,7 +26,7 @@
   void Arm(absl::Duration limit) {
     state_->armed = true;
     state_->due = state_->queue.now() + limit;
-    if (!state_->pending) Wait(state_);
+    if (!state_->pending || state_->due < state_->wakes_at) Wait(state_);
   }
   void Cancel() { state_->armed = false; }
 
@@ -40,21 +40,25 @@
     bool armed = false;
     bool pending = false;
     absl::Time due;
+    absl::Time wakes_at;  // of the pending event
   };
 
   // One event is pending at most: bytes come far more often than silence.
   static void Wait(const std::shared_ptr<State>& state) {
     state->pending = true;
-    state->queue.After(state->due - state->queue.now(), [state] {
-      state->pending = false;
-      if (!state->armed) return;
-      if (state->queue.now() < state->due) {
-        Wait(state);
-        return;
-      }
-      state->armed = false;
-      state->on_silence();
-    });
+    state->wakes_at = state->due;
+    state->queue.After(state->due - state->queue.now(),
+                       [state, at = state->due] {
+                         if (!state->pending || at != state->wakes_at) return;
+                         state->pending = false;
+                         if (!state->armed) return;
+                         if (state->queue.now() < state->due) {
+                           Wait(state);
+                           return;
+                         }
+                         state->armed = false;
+                         state->on_silence();
+                       });
   }
 
   std::shared_ptr<State> state_;
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -30,7 +30,8 @@
                 StreamLifecycle::ClientTimeout(request.objective,
                                                request.pause_objective),
                 [this] { Finish(EmulatedOutcome::Kind::kLeft); }),
-        silence_(front.queue_, [this] { OnSilence(); }) {}
+        timer_(front.queue_,
+               [this] { lifecycle_.OnTimer(front_.queue_.now()); }) {}
 
   void Start() { lifecycle_.Start(front_.queue_.now()); }
   StreamLifecycle& lifecycle() { return lifecycle_; }
@@ -64,34 +65,50 @@
     return front_.options_.engine.handle_lifetime;
   }
   bool TakeRepeat() override { return front_.repeats_.TryTake(); }
+  void ReturnRepeat() override { front_.repeats_.Return(); }
+  bool HasRepeats(uint32_t repeats) override {
+    return front_.repeats_.Left() >= repeats;
+  }
+  void ArmTimer(absl::Duration delay) override { timer_.Arm(delay); }
   void FreeHandle() override {}
-  void OnResumed() override {}
+  void OnSilent(StreamStage /*stage*/, const BackendName& /*engine*/) override {
+  }
+  void OnReplacement(ReplacementStep /*step*/,
+                     absl::string_view /*reason*/) override {}
+  void OnResumed() override { tokens_before_ = tokens_; }
   void WakeScheduler() override { front_.WakeScheduler(); }
 
-  void SendPrompt(const BackendName& engine, absl::Duration patience) override {
-    silence_.Arm(patience);
-    uint64_t call = BeginCall(engine);
-    call_id_ = engine_->ReadPrompt(
+  void SendPrompt(const BackendName& engine) override {
+    uint64_t call = prompt_.Begin(*front_.engines_.at(engine));
+    prompt_.id = prompt_.engine->ReadPrompt(
         request_.prompt_tokens, [this, alive = alive_, call](PromptResult it) {
-          if (*alive && call == call_) OnPrompt(it);
+          if (*alive && call == prompt_.number) OnPrompt(it);
         });
   }
 
   void SendDecode(const BackendName& engine, bool with_handle) override {
-    silence_.Arm(StreamLifecycle::SilenceThreshold());
-    uint64_t call = BeginCall(engine);
+    uint64_t call = decode_.Begin(*front_.engines_.at(engine));
     DecodeRun run;
     run.request = request_.number;
     run.priority = request_.priority;
     run.prompt_tokens = request_.prompt_tokens + tokens_;
     run.output_tokens = request_.output_tokens - tokens_;
     run.has_handle = with_handle;
-    call_id_ =
-        engine_->Decode(run, [this, alive = alive_, call](DecodeEvent it) {
-          if (*alive && call == call_) OnDecode(it);
+    decode_.id = decode_.engine->Decode(
+        run, [this, alive = alive_, call](DecodeEvent it) {
+          if (*alive && call == decode_.number) OnDecode(it);
         });
   }
 
+  bool CancelPrompt(absl::string_view /*sign*/) override {
+    prompt_.Cancel();
+    return true;
+  }
+  bool CancelDecode(absl::string_view /*sign*/) override {
+    decode_.Cancel();
+    return true;
+  }
+
   void End(const StreamEnding& ending) override {
     switch (ending.kind) {
       case StreamEnding::Kind::kRefused:
@@ -108,24 +125,28 @@
 
   // ---- Answers of engines ----
 
-  uint64_t BeginCall(const BackendName& engine) {
-    engine_ = front_.engines_.at(engine).get();
-    return ++call_;
-  }
+  // A call in progress. Results of another number belong to an earlier call.
+  struct Call {
+    uint64_t Begin(EngineModel& at) {
+      engine = &at;
+      return ++number;
+    }
+    void End() {
+      engine = nullptr;
+      ++number;
+    }
+    void Cancel() {
+      if (engine != nullptr) engine->Cancel(id);
+      End();
+    }
 
-  void EndCall() {
-    ++call_;  // what still comes is of no call
-    engine_ = nullptr;
-    silence_.Cancel();
-  }
-
-  void CancelCall() {
-    if (engine_ != nullptr) engine_->Cancel(call_id_);
-    EndCall();
-  }
+    EngineModel* engine = nullptr;
+    uint64_t number = 0;
+    uint64_t id = 0;  // at the engine
+  };
 
   void OnPrompt(PromptResult result) {
-    EndCall();
+    prompt_.End();
     absl::Time now = front_.queue_.now();
     switch (result) {
       case PromptResult::kRead:
@@ -149,58 +170,37 @@
       case DecodeEvent::kToken:
         if (tokens_++ == tokens_before_) lifecycle_.OnStreaming(now);
         lifecycle_.OnProgress(now);
-        silence_.Arm(StreamLifecycle::SilenceThreshold());
         client_.OnToken();
         return;
       case DecodeEvent::kWhole:
-        EndCall();
+        decode_.End();
         lifecycle_.OnCompleted(now);
         Finish(EmulatedOutcome::Kind::kWhole);
         return;
       case DecodeEvent::kRefused:
-        EndCall();
+        decode_.End();
         lifecycle_.OnDecodeRefused(/*is_wrong_server=*/false, now);
         return;
       case DecodeEvent::kUnreachable:
-        EndCall();
+        decode_.End();
         tokens_before_ = tokens_;
         lifecycle_.OnDecodeFailed(DecodeFailure::kUnreachable, now);
         return;
       case DecodeEvent::kBroken:
-        EndCall();
+        decode_.End();
         tokens_before_ = tokens_;
         lifecycle_.OnDecodeFailed(DecodeFailure::kClosed, now);
         return;
     }
   }
 
-  void OnSilence() {
-    absl::Time now = front_.queue_.now();
-    if (lifecycle_.phase() == StreamLifecycle::Phase::kPrompt) {
-      CancelCall();
-      lifecycle_.OnPromptFailed(PromptFailure::kBroken, now);
-      return;
-    }
-    switch (lifecycle_.OnDecodeSilent(now)) {
-      case StreamLifecycle::SilenceVerdict::kIgnore:
-        return;
-      case StreamLifecycle::SilenceVerdict::kWait:
-        silence_.Arm(StreamLifecycle::ResumeDelay());
-        return;
-      case StreamLifecycle::SilenceVerdict::kEnd:
-      case StreamLifecycle::SilenceVerdict::kResume:
-        CancelCall();
-        tokens_before_ = tokens_;
-        lifecycle_.OnDecodeFailed(DecodeFailure::kBroken, now);
-        return;
-    }
-  }
-
   void Finish(EmulatedOutcome::Kind kind,
               absl::Duration retry_after = absl::ZeroDuration()) {
     if (!*alive_) return;
     *alive_ = false;
-    CancelCall();
+    prompt_.Cancel();
+    decode_.Cancel();
+    timer_.Cancel();
     lifecycle_.Close();
     EmulatedOutcome outcome = client_.End(kind, retry_after);
     EraseLater(front_.queue_, front_.streams_, id_);
@@ -213,12 +213,11 @@
   OutcomeHandler handler_;
   StreamLifecycle lifecycle_;
   ClientWatch client_;
-  SilenceWatch silence_;
+  SilenceWatch timer_;
   // Shared with the callbacks that may come after this has gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  EngineModel* engine_ = nullptr;  // of the call in progress
-  uint64_t call_ = 0;
-  uint64_t call_id_ = 0;
+  Call prompt_;
+  Call decode_;
   int64_t tokens_ = 0;
   int64_t tokens_before_ = 0;  // delivered by earlier runs
 };
@@ -320,7 +319,7 @@
                    [&](const StreamRefusal& it) {
                      auto stream = streams_.find(it.id);
                      if (stream == streams_.end()) return;
-                     stream->second->lifecycle().OnRefused(it);
+                     stream->second->lifecycle().OnRefused(it, queue_.now());
                    },
                },
                decision);
--- a/lib/emulator/front_parts.h
+++ b/lib/emulator/front_parts.h
@@ -30,6 +30,13 @@
     times_.push_back(queue_.now());
     return true;
   }
+  // Returns the retry taken last.
+  void Return() {
+    if (times_.empty()) return;
+    quota_.Return(service_, times_.back());
+    times_.pop_back();
+  }
+  double Left() { return quota_.RetriesLeft(service_, queue_.now()); }
   const std::vector<absl::Time>& times() const { return times_; }
 
  private:
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -126,6 +126,7 @@
 
 bool Relay::TakeRepeat() {
   if (context_.quota.TryTake(admitted_.service, Now())) {
+    repeats_taken_.push_back(Now());
     ++context_.stats.repeated_sends;
     return true;
   }
@@ -133,4 +134,11 @@
   return false;
 }
 
+void Relay::ReturnRepeat() {
+  if (repeats_taken_.empty()) return;
+  context_.quota.Return(admitted_.service, repeats_taken_.back());
+  repeats_taken_.pop_back();
+  --context_.stats.repeated_sends;
+}
+
 }  // namespace chervilwick
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -50,10 +50,10 @@
           {context.backends, context.scheduler, context.suspects},
           MakeStreamTerms(this->admitted(), context.settings.stall_patience),
           *this),
-      idle_timer_(context.loop, [this] { OnIdleTimeout(); }) {}
+      timer_(context.loop, [this] { lifecycle_.OnTimer(Now()); }) {}
 
 StreamRelay::~StreamRelay() {
-  CancelCall();
+  CancelCalls();
   lifecycle_.Close();
 }
 
@@ -74,6 +74,14 @@
 
 bool StreamRelay::TakeRepeat() { return Relay::TakeRepeat(); }
 
+void StreamRelay::ReturnRepeat() { Relay::ReturnRepeat(); }
+
+bool StreamRelay::HasRepeats(uint32_t repeats) {
+  return context().quota.RetriesLeft(admitted().service, Now()) >= repeats;
+}
+
+void StreamRelay::ArmTimer(absl::Duration delay) { timer_.Arm(delay); }
+
 void StreamRelay::OnResumed() { ++context().stats.resumed_streams; }
 
 void StreamRelay::WakeScheduler() { context().wake_scheduler(); }
@@ -101,7 +109,7 @@
 }
 
 void StreamRelay::OnRefused(const StreamRefusal& refusal) {
-  lifecycle_.OnRefused(refusal);
+  lifecycle_.OnRefused(refusal, Now());
 }
 
 void StreamRelay::OnPlaced(const StreamPlacement& placement) {
@@ -121,80 +129,83 @@
   lifecycle_.OnPlaced(placement, Now());
 }
 
-void StreamRelay::Call(const BackendState& engine,
+void StreamRelay::Call(EngineCall& call, const BackendState& engine,
                        const ForwardOptions& forward, size_t max_body_bytes,
                        CallHandler handler) {
   CallOptions options = EngineCallOptions();
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = max_body_bytes;
-  body_.clear();
-  call_started_ = Now();
-  call_ = context().client.Start(
+  call = EngineCall();
+  call.started = Now();
+  call.id = context().client.Start(
       engine.record.endpoint,
       context().protocol.Forward(admitted().request, forward), options,
       std::move(handler));
 }
 
-void StreamRelay::SendPrompt(const BackendName& engine,
-                             absl::Duration patience) {
+void StreamRelay::SendPrompt(const BackendName& engine) {
   ForwardOptions forward;
   forward.expected = engine;
   forward.remaining = ClientRemaining();
   forward.prefill_only = true;
-  idle_timer_.Arm(patience);
-  Call(*context().backends.Find(engine), forward, kMaxBufferedAnswerBytes,
+  Call(prompt_call_, *context().backends.Find(engine), forward,
+       kMaxBufferedAnswerBytes,
        [this](CallEvent event) { OnPromptEvent(std::move(event)); });
 }
 
 void StreamRelay::OnPromptEvent(CallEvent event) {
-  std::visit(
-      Overloaded{
-          [&](HttpHead& head) {
-            head_ = std::move(head);
-            context().RecordAnswer(*lifecycle_.placement().prefill,
-                                   context().protocol.ParseResponse(head_));
-          },
-          [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
-          [&](HttpEnd&) { OnPromptEnd(); },
-          [&](CallFailure& failure) {
-            if (failure.sent) {
-              LogLostRun(lifecycle_.placement().prefill->value(),
+  std::visit(Overloaded{
+                 [&](HttpHead& head) {
+                   prompt_call_.head = std::move(head);
+                   context().RecordAnswer(
+                       lifecycle_.prompt_engine(),
+                       context().protocol.ParseResponse(prompt_call_.head));
+                 },
+                 [&](HttpBodyPart& part) {
+                   absl::StrAppend(&prompt_call_.body, part.bytes);
+                 },
+                 [&](HttpEnd&) { OnPromptEnd(); },
+                 [&](CallFailure& failure) {
+                   if (failure.sent) {
+                     LogLostRun(
+                         lifecycle_.prompt_engine().value(),
                          absl::StrCat("prompt_", CallErrorText(failure.error)));
-            }
-            bool is_closed = failure.error == CallError::kClosed;
-            OnPromptFailed("connection failed",
-                           !failure.sent ? PromptFailure::kUnreachable
-                           : is_closed   ? PromptFailure::kClosed
-                                         : PromptFailure::kBroken);
-          },
-      },
-      event);
+                   }
+                   bool is_closed = failure.error == CallError::kClosed;
+                   OnPromptFailed("connection failed",
+                                  !failure.sent ? PromptFailure::kUnreachable
+                                  : is_closed   ? PromptFailure::kClosed
+                                                : PromptFailure::kBroken);
+                 },
+             },
+             event);
 }
 
 void StreamRelay::OnPromptEnd() {
-  EndCall();
-  std::optional<std::string> handle = context().protocol.ParseHandle(body_);
-  if (head_.status != kOk || !handle) {
-    bool is_refused = context().protocol.ParseResponse(head_).is_not_run;
+  prompt_call_.id = CallId();
+  const HttpHead& head = prompt_call_.head;
+  std::optional<std::string> handle =
+      context().protocol.ParseHandle(prompt_call_.body);
+  if (head.status != kOk || !handle) {
+    bool is_refused = context().protocol.ParseResponse(head).is_not_run;
     OnPromptFailed("engine refused", is_refused ? PromptFailure::kRefused
                                                 : PromptFailure::kBroken);
     return;
   }
   const BackendState* engine =
-      context().backends.Find(*lifecycle_.placement().prefill);
+      context().backends.Find(lifecycle_.prompt_engine());
   if (engine == nullptr) {
     OnPromptFailed("engine no longer listed", PromptFailure::kBroken);
     return;
   }
-  context().stats.prompt_time.Add(Now() - call_started_);
+  context().stats.prompt_time.Add(Now() - prompt_call_.started);
   handle_ = {engine->record.id, {engine->record.endpoint, *handle}};
   lifecycle_.OnPromptRead(Now());
 }
 
 void StreamRelay::OnPromptFailed(absl::string_view why, PromptFailure kind) {
-  EndCall();
-  LogBackendError("prefill_failed", lifecycle_.placement().prefill->value(),
-                  why);
+  prompt_call_.id = CallId();
+  LogBackendError("prefill_failed", lifecycle_.prompt_engine().value(), why);
   lifecycle_.OnPromptFailed(kind, Now());
 }
 
@@ -206,8 +217,8 @@
   forward.resume_after =
       events_.last_id() ? events_.last_id() : admitted().facts.last_event;
   events_.DiscardRemainder();
-  idle_timer_.Arm(StreamLifecycle::SilenceThreshold());
-  Call(*context().backends.Find(engine), forward, CallOptions::kNoBodyLimit,
+  Call(decode_call_, *context().backends.Find(engine), forward,
+       CallOptions::kNoBodyLimit,
        [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
 }
 
@@ -222,11 +233,12 @@
 }
 
 void StreamRelay::OnDecodeHead(HttpHead head) {
-  const BackendName& engine = lifecycle_.placement().decode;
+  const BackendName& engine = lifecycle_.decode_engine();
   ResponseMetadata facts = context().protocol.ParseResponse(head);
   context().RecordAnswer(engine, facts);
-  head_ = std::move(head);
-  if (!IsSuccess(head_.status) || !facts.has_server_stamp) return;
+  decode_call_.head = std::move(head);
+  int status = decode_call_.head.status;
+  if (!IsSuccess(status) || !facts.has_server_stamp) return;
   bool is_first = !lifecycle_.is_streaming();
   handle_.reset();
   lifecycle_.OnStreaming(Now());
@@ -234,15 +246,17 @@
   if (!is_first) return;
   context().stats.first_event[admitted().route.name].Add(Elapsed());
   Log("streaming", engine.value(), "head received");
-  context().server->BeginStream(admitted().id, head_.status,
-                                context().protocol.ForwardedFields(head_));
+  context().server->BeginStream(
+      admitted().id, status,
+      context().protocol.ForwardedFields(decode_call_.head));
 }
 
 void StreamRelay::OnDecodeBytes(absl::string_view bytes) {
-  ResponseMetadata facts = context().protocol.ParseResponse(head_);
-  if (!IsSuccess(head_.status) || !facts.has_server_stamp) {
-    absl::StrAppend(&body_, bytes);
-    if (body_.size() > kMaxBufferedAnswerBytes) OnOversizedAnswer();
+  const HttpHead& head = decode_call_.head;
+  ResponseMetadata facts = context().protocol.ParseResponse(head);
+  if (!IsSuccess(head.status) || !facts.has_server_stamp) {
+    absl::StrAppend(&decode_call_.body, bytes);
+    if (decode_call_.body.size() > kMaxBufferedAnswerBytes) OnOversizedAnswer();
     return;
   }
   uint64_t before = events_.events();
@@ -253,20 +267,19 @@
   }
   // Only complete events count as progress, so that an engine which sends
   // fragments without end is detected as stalled.
-  if (events_.events() == before) return;
-  idle_timer_.Arm(StreamLifecycle::SilenceThreshold());
-  lifecycle_.OnProgress(Now());
+  if (events_.events() != before) lifecycle_.OnProgress(Now());
 }
 
 void StreamRelay::OnOversizedAnswer() {
-  CancelCall();
+  Cancel(decode_call_);
   OnDecodeBroken({CallError::kMalformed, true});
 }
 
 void StreamRelay::OnDecodeEnd() {
-  EndCall();
-  const std::string& engine = lifecycle_.placement().decode.value();
-  ResponseMetadata facts = context().protocol.ParseResponse(head_);
+  decode_call_.id = CallId();
+  const std::string& engine = lifecycle_.decode_engine().value();
+  const HttpHead& head = decode_call_.head;
+  ResponseMetadata facts = context().protocol.ParseResponse(head);
   if (facts.is_not_run) {
     LogBackendError("decode_refused", engine,
                     facts.is_wrong_server
@@ -276,15 +289,15 @@
     lifecycle_.OnDecodeRefused(facts.is_wrong_server, Now());
     return;
   }
-  if (!IsSuccess(head_.status)) {
+  if (!IsSuccess(head.status)) {
     if (lifecycle_.is_streaming()) {
       AbortStream("resumed run failed");
       return;
     }
-    HttpResponse response{head_.status,
-                          context().protocol.ForwardedFields(head_), body_};
+    HttpResponse response{head.status, context().protocol.ForwardedFields(head),
+                          decode_call_.body};
     context().server->Respond(admitted().id, response);
-    Finish("answered", head_.status, engine);
+    Finish("answered", head.status, engine);
     return;
   }
   if (!facts.has_server_stamp) {
@@ -294,16 +307,14 @@
   context().server->SendStream(admitted().id, events_.TakeRemainder());
   context().server->EndStream(admitted().id);
   lifecycle_.OnCompleted(Now());
-  Finish("answered", head_.status, engine);
+  Finish("answered", head.status, engine);
 }
 
 void StreamRelay::OnDecodeBroken(const CallFailure& failure) {
-  EndCall();
-  if (failure.sent) {
-    LogLostRun(lifecycle_.placement().decode.value(),
-               CallErrorText(failure.error));
-  }
-  LogBackendError("decode_broke_off", lifecycle_.placement().decode.value(),
+  decode_call_.id = CallId();
+  const std::string& engine = lifecycle_.decode_engine().value();
+  if (failure.sent) LogLostRun(engine, CallErrorText(failure.error));
+  LogBackendError("decode_broke_off", engine,
                   failure.sent ? "response incomplete" : "request not sent");
   bool is_closed = failure.error == CallError::kClosed;
   lifecycle_.OnDecodeFailed(!failure.sent ? DecodeFailure::kUnreachable
@@ -312,45 +323,44 @@
                             Now());
 }
 
-void StreamRelay::OnIdleTimeout() {
-  if (lifecycle_.phase() == Phase::kPrompt) {
-    LogLostRun(lifecycle_.placement().prefill->value(), "prompt_silent");
-    CancelCall();
-    OnPromptFailed("no answer in time", PromptFailure::kBroken);
-    return;
-  }
-  if (lifecycle_.phase() != Phase::kDecode) return;
-  LogBackendError("decode_silent", lifecycle_.placement().decode.value(),
-                  "no event received");
-  switch (lifecycle_.OnDecodeSilent(Now())) {
-    case StreamLifecycle::SilenceVerdict::kIgnore:
-      if (lifecycle_.is_streaming()) {
-        idle_timer_.Arm(lifecycle_.TimeUntilStall(Now()));
-      }
-      return;
-    case StreamLifecycle::SilenceVerdict::kEnd:
-      AbandonCall("stalled");
-      CancelCall();
-      AbortStream("engine_stalled");
-      return;
-    case StreamLifecycle::SilenceVerdict::kWait:
-      idle_timer_.Arm(StreamLifecycle::ResumeDelay());
-      return;
-    case StreamLifecycle::SilenceVerdict::kResume:
-      CancelCall();
-      OnDecodeBroken({CallError::kTimeout, true});
-      return;
-  }
+void StreamRelay::OnSilent(StreamStage stage, const BackendName& engine) {
+  bool is_prompt = stage == StreamStage::kPrompt;
+  LogBackendError(is_prompt ? "prompt_silent" : "decode_silent", engine.value(),
+                  is_prompt ? "no answer in time" : "no event received");
+}
+
+void StreamRelay::OnReplacement(ReplacementStep /*step*/,
+                                absl::string_view /*reason*/) {}
+
+bool StreamRelay::WasSent(const EngineCall& call) const {
+  return call.id.value() != 0 && !context().client.IsUnsent(call.id);
 }
 
-void StreamRelay::EndCall() {
-  call_ = CallId();
-  idle_timer_.Cancel();
+bool StreamRelay::CancelPrompt(absl::string_view sign) {
+  const std::string& engine = lifecycle_.prompt_engine().value();
+  bool was_sent = WasSent(prompt_call_);
+  if (was_sent) LogLostRun(engine, sign);
+  Cancel(prompt_call_);
+  return was_sent;
 }
 
-void StreamRelay::CancelCall() {
-  if (call_.value() != 0) context().client.Cancel(call_);
-  EndCall();
+bool StreamRelay::CancelDecode(absl::string_view sign) {
+  const std::string& engine = lifecycle_.decode_engine().value();
+  bool was_sent = WasSent(decode_call_);
+  if (was_sent) LogLostRun(engine, sign);
+  Cancel(decode_call_);
+  return was_sent;
+}
+
+void StreamRelay::Cancel(EngineCall& call) {
+  if (call.id.value() != 0) context().client.Cancel(call.id);
+  call.id = CallId();
+}
+
+void StreamRelay::CancelCalls() {
+  Cancel(prompt_call_);
+  Cancel(decode_call_);
+  timer_.Cancel();
 }
 
 void StreamRelay::FreeHandle() {
@@ -370,18 +380,21 @@
   handle_.reset();
 }
 
-void StreamRelay::AbandonCall(absl::string_view sign) {
-  if (call_.value() == 0 || context().client.IsUnsent(call_)) return;
-  bool is_prompt = lifecycle_.phase() == Phase::kPrompt;
-  const StreamPlacement& placement = lifecycle_.placement();
-  LogLostRun((is_prompt ? *placement.prefill : placement.decode).value(), sign);
-  lifecycle_.OnAbandoned(Now());
+void StreamRelay::AbandonCalls(absl::string_view sign) {
+  if (WasSent(prompt_call_)) {
+    LogLostRun(lifecycle_.prompt_engine().value(), sign);
+    lifecycle_.OnAbandoned(StreamStage::kPrompt, Now());
+  }
+  if (WasSent(decode_call_)) {
+    LogLostRun(lifecycle_.decode_engine().value(), sign);
+    lifecycle_.OnAbandoned(StreamStage::kDecode, Now());
+  }
 }
 
 void StreamRelay::OnClientGone() {
-  AbandonCall("client_gone");
+  AbandonCalls("client_gone");
   context().scheduler.Withdraw(admitted().id);
-  CancelCall();
+  CancelCalls();
   FreeHandle();
   Finish("client_gone", 0,
          lifecycle_.is_streaming() ? "streaming" : "before first event");
@@ -390,10 +403,10 @@
 void StreamRelay::OnQuarantined() { lifecycle_.RecheckQuarantine(Now()); }
 
 void StreamRelay::OnTimeout() {
-  AbandonCall("timeout");
+  AbandonCalls("timeout");
   context().scheduler.Withdraw(admitted().id);
-  bool unsent = call_.value() != 0 && context().client.IsUnsent(call_);
-  CancelCall();
+  bool unsent = decode_call_.id.value() != 0 && !WasSent(decode_call_);
+  CancelCalls();
   FreeHandle();
   if (lifecycle_.is_streaming()) {
     AbortStream("timeout");
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -136,6 +136,9 @@
   // Retry-After value of refusals; empty for none.
   void SetRetryAfter(std::string value) { retry_after_ = std::move(value); }
   void SetEventTime(absl::Duration time) { options_.event_time = time; }
+  void SetPromptRate(double tokens_per_ms) {
+    options_.prompt_tokens_per_ms = tokens_per_ms;
+  }
   const std::vector<EngineRun>& runs() const { return runs_; }
   int prefills() const { return prefills_; }
   int refusals() const { return refusals_; }
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -3,6 +3,7 @@
 #ifndef CHERVILWICK_UNITTESTS_DISPATCH_LIFECYCLE_FIXTURE_H_
 #define CHERVILWICK_UNITTESTS_DISPATCH_LIFECYCLE_FIXTURE_H_
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
@@ -30,15 +31,40 @@
     --repeats_left;
     return true;
   }
-  void SendPrompt(const BackendName& engine,
-                  absl::Duration /*patience*/) override {
+  void ReturnRepeat() override { ++repeats_left; }
+  bool HasRepeats(uint32_t repeats) override {
+    return static_cast<uint32_t>(repeats_left) >= repeats;
+  }
+  void SendPrompt(const BackendName& engine) override {
+    if (!open_prompt.empty()) ++overlapping_calls;
     prompts.push_back(engine.value());
+    open_prompt = engine.value();
   }
   void SendDecode(const BackendName& engine, bool with_handle) override {
+    if (!open_decode.empty()) ++overlapping_calls;
+    open_decode = engine.value();
     decodes.push_back(engine.value());
     with_handles.push_back(with_handle);
   }
+  bool CancelPrompt(absl::string_view /*sign*/) override {
+    cancelled.push_back(open_prompt);
+    open_prompt.clear();
+    return true;
+  }
+  bool CancelDecode(absl::string_view /*sign*/) override {
+    cancelled.push_back(open_decode);
+    open_decode.clear();
+    return true;
+  }
+  void ArmTimer(absl::Duration delay) override { timer_delay = delay; }
   void FreeHandle() override { ++freed; }
+  void OnSilent(StreamStage /*stage*/, const BackendName& engine) override {
+    silent.push_back(engine.value());
+  }
+  void OnReplacement(ReplacementStep step, absl::string_view reason) override {
+    replacement_steps.push_back(step);
+    last_reason = reason;
+  }
   void OnResumed() override { ++resumed; }
   void End(const StreamEnding& it) override {
     ending = it;
@@ -54,6 +80,15 @@
   int resumed = 0;
   std::optional<StreamEnding> ending;
   int endings = 0;
+  // Engines of the open calls, for tests that clear them when a call ends.
+  std::string open_prompt;
+  std::string open_decode;
+  int overlapping_calls = 0;  // of one stage
+  std::vector<std::string> cancelled;
+  std::vector<std::string> silent;
+  std::vector<ReplacementStep> replacement_steps;
+  absl::string_view last_reason;
+  absl::Duration timer_delay = absl::InfiniteDuration();
 };
 
 // One stream with its scheduler and a small fleet of engines.
@@ -100,13 +135,14 @@
   // Runs a scheduling pass one step later.
   void Schedule() {
     now += kStep;
+    if (port.timer_delay != absl::InfiniteDuration()) port.timer_delay -= kStep;
     for (const StreamDecision& it : scheduler.Decide(now)) {
       std::visit(Overloaded{
                      [&](const StreamPlacement& placement) {
                        lifecycle.OnPlaced(placement, now);
                      },
                      [&](const StreamRefusal& refusal) {
-                       lifecycle.OnRefused(refusal);
+                       lifecycle.OnRefused(refusal, now);
                      },
                  },
                  it);
@@ -121,6 +157,20 @@
     lifecycle.OnPromptRead(now);
   }
 
+  // Runs the timer at its time, as long as no engine sends anything.
+  void Wait(absl::Duration time) {
+    absl::Time end = now + time;
+    while (!port.ending && port.timer_delay <= end - now) {
+      now += std::max(port.timer_delay, absl::ZeroDuration());
+      port.timer_delay = absl::InfiniteDuration();
+      lifecycle.OnTimer(now);
+    }
+    if (port.timer_delay != absl::InfiniteDuration()) {
+      port.timer_delay -= end - now;
+    }
+    now = end;
+  }
+
   // Checks that the stream releases all reserved capacity when it is closed.
   void CheckAllReleased() {
     lifecycle.Close();
