--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -106,6 +107,8 @@
   // Takes one retry from the service's retry budget. Returns false if the
   // budget is used up.
   bool TakeRepeat();
+  // Returns the retry that TakeRepeat() took last: its call was not sent.
+  void ReturnRepeat();
   bool is_finished() const { return is_finished_; }
   FrontContext& context() const { return context_; }
 
@@ -119,6 +122,7 @@
   Timer timeout_;
   std::set<ConnectionId> used_connections_;
   std::optional<absl::Duration> until_output_;
+  std::vector<absl::Time> repeats_taken_;
   bool is_finished_ = false;
 };
 
