Streams: a silent prompt call is cancelled as its own engine's

What callers saw: LOST; a front ended by itself with a segmentation fault and cut all that it had.

While a silent prompt call is replaced, the step of the replacement is already in place, and the open prompt call is taken for that step's: the wrong engine is reported and excluded, and where the replacement has no prompt call, an empty name is read.

Evidence: the new case fails before (cancelled at p1 in place of p0, and at an empty name); after: passes.

Why it works: the replacement's step is held aside until the open call has been cancelled and its place released.

--- a/lib/dispatch/stream_replacement.cc
+++ b/lib/dispatch/stream_replacement.cc
@@ -1,6 +1,7 @@
 // How a stream replaces the call to a silent engine.
 
 #include <algorithm>
+#include <utility>
 
 #include "chervilwick/dispatch/stream_lifecycle.h"
 
@@ -176,10 +177,11 @@
     return;
   }
   for (; missing > 0 && port_.TakeRepeat(); --missing) ++retries_taken_;
+  // The open prompt call is that of the first step until it is cancelled.
+  std::optional<Step> next = std::exchange(next_, std::nullopt);
   CancelSilentPrompt(now);
   Release(step_);
-  step_ = std::move(next_);
-  next_.reset();
+  step_ = std::move(next);
   if (step_->placement.prefill) {
     StartPrompt(now);
   } else {
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -48,6 +48,7 @@
   }
   bool CancelPrompt(absl::string_view /*sign*/) override {
     cancelled.push_back(open_prompt);
+    cancelled_prompts.push_back(lifecycle->prompt_engine().value());
     open_prompt.clear();
     return true;
   }
@@ -85,6 +86,9 @@
   std::string open_decode;
   int overlapping_calls = 0;  // of one stage
   std::vector<std::string> cancelled;
+  // Engines of cancelled prompt calls, by the lifecycle's account.
+  std::vector<std::string> cancelled_prompts;
+  const StreamLifecycle* lifecycle = nullptr;
   std::vector<std::string> silent;
   std::vector<ReplacementStep> replacement_steps;
   absl::string_view last_reason;
@@ -97,6 +101,7 @@
   explicit Stream(bool resumable = false, int decode_engines = 5)
       : scheduler(table, ZoneName("a"), StreamSchedulerOptions()),
         lifecycle({table, scheduler, suspects}, Terms(resumable), port) {
+    port.lifecycle = &lifecycle;
     for (int n = 0; n < 3; ++n) Add("p", n, EngineStage::kPrefill);
     for (int n = 0; n < decode_engines; ++n) Add("d", n, EngineStage::kDecode);
     ServiceTraits traits;
--- a/unittests/dispatch/stream_replacement_test.cc
+++ b/unittests/dispatch/stream_replacement_test.cc
@@ -268,6 +268,27 @@
   it.CheckAllReleased();
 }
 
+TEST_CASE("a silent prompt call is cancelled and reported as its engine's",
+          "[dispatch]") {
+  for (bool has_other_prefill : {true, false}) {
+    Stream it;
+    it.lifecycle.Start(it.now);
+    it.Schedule();
+    REQUIRE(it.port.prompts.size() == 1);
+    std::string first = it.port.prompts[0];
+    for (const char* engine : {"p0", "p1", "p2"}) {
+      if (!has_other_prefill && engine != first) {
+        it.table.Remove(BackendName(engine));
+      }
+    }
+    it.Wait(it.port.timer_delay);
+    it.Schedule();
+    CHECK(it.port.cancelled_prompts == std::vector<std::string>{first});
+    CHECK(it.port.prompts.size() == (has_other_prefill ? 2 : 1));
+    CHECK(it.port.decodes.size() == (has_other_prefill ? 0 : 1));
+  }
+}
+
 TEST_CASE("a resumed stream waits for a retry as long as its client waits",
           "[dispatch]") {
   Stream it(/*resumable=*/true);
