--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -151,7 +151,7 @@
   void ArmCallTimer() {
     timer_.Cancel();
     if (due_ == absl::InfiniteFuture()) return;
-    timer_.Arm(std::max(absl::ZeroDuration(), due_ - client_.loop_.Now()));
+    timer_.Arm(due_ - client_.loop_.Now());
   }
 
   size_t OutputBytes() const {
