Tests: streams, prompts and store watches across a pause of their front

Guards of the event loop's order: the platform runs on while a front stands still for longer than the silence threshold, the prompt's time-out or the watch's.

--- a/unittests/front/pause_test.cc
+++ b/unittests/front/pause_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
 #include <thread>
 
 #include "deployment.h"
@@ -94,5 +97,80 @@
         1 + it.front->context().stats.repeated_sends);
 }
 
+// A front whose loop can stand still while the platform goes on.
+class PausableFront {
+ public:
+  PausableFront() {
+    for (const char* id : {"d1", "d2"}) {
+      setup.engines.at(id)->SetEventTime(absl::Milliseconds(100));
+    }
+    REQUIRE_FALSE(front_.Start().has_value());
+    Run(absl::Milliseconds(300));
+  }
+  ~PausableFront() { std::fclose(log_); }
+
+  void Run(absl::Duration duration) {
+    absl::Time end = setup.loop.Now() + duration;
+    while (setup.loop.Now() < end) {
+      setup.loop.RunFor(absl::Milliseconds(1));
+      loop_.RunFor(absl::Milliseconds(1));
+    }
+  }
+  // The platform and the clients run, the front doesn't.
+  void Pause(absl::Duration duration) { setup.loop.RunFor(duration); }
+
+  const FrontStats& stats() const { return front_.context().stats; }
+  uint64_t CountOf(const std::string& error) const {
+    uint64_t count = 0;
+    for (const auto& it : stats().backend_errors) {
+      if (it.first.second == error) count += it.second;
+    }
+    return count;
+  }
+
+  TestDeployment setup;
+
+ private:
+  EventLoop loop_;
+  std::FILE* log_ = std::tmpfile();
+  FrontDaemon front_{loop_, setup.settings, "", setup.protocol, fileno(log_)};
+};
+
+TEST_CASE("stream whose events came while the front stood is not silent",
+          "[front][pause]") {
+  PausableFront front;
+  auto answer = front.setup.SendRequest("POST", "/report/x", "", 4000);
+  front.Run(absl::Milliseconds(250));
+  REQUIRE(answer->status == 200);
+  front.Pause(absl::Milliseconds(1600));
+  front.Run(absl::Milliseconds(500));
+  CHECK(front.CountOf("decode_silent") == 0);
+  CHECK(front.setup.Runs("d1") + front.setup.Runs("d2") == 1);
+  CHECK(answer->is_complete);
+  CHECK(answer->body == StreamEvents(1, 8));
+}
+
+TEST_CASE("prompt whose answer came while the front stood is not lost",
+          "[front][pause]") {
+  PausableFront front;
+  auto answer = front.setup.SendRequest("POST", "/note/x", "", 4000);
+  while (front.setup.engines.at("p1")->prefills() == 0) {
+    front.Run(absl::Milliseconds(1));
+  }
+  front.Pause(absl::Milliseconds(1000));
+  front.Run(absl::Milliseconds(1500));
+  CHECK(front.CountOf("prefill_failed") == 0);
+  CHECK(front.setup.engines.at("p1")->prefills() == 1);
+  CHECK(answer->is_complete);
+}
+
+TEST_CASE("watch that the store answered while the front stood succeeds",
+          "[front][pause]") {
+  PausableFront front;
+  front.Pause(absl::Milliseconds(3300));
+  front.Run(absl::Milliseconds(100));
+  CHECK(front.stats().store_calls.count("none") == 0);
+}
+
 }  // namespace
 }  // namespace chervilwick
