Peers: a front's own pause is no silence of its peers

What callers saw: a front that stood still lost all peers at once, so that it placed on capacity that they had taken, until their next digests.

Cause: the silence of a peer was the time since its last datagram, also where this process had not listened.

Fix: silence counts from the end of the last pause of this process, which the 50 ms tick shows. A peer that is silent after the pause is lost as before.

--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -78,6 +78,8 @@
   std::set<Endpoint> seeds_;
   std::set<Endpoint> unconfirmed_peers_;  // named by peers or expired
   std::map<Endpoint, Peer> live_peers_;
+  absl::Time last_tick_ = absl::InfinitePast();
+  absl::Time listening_since_ = absl::InfinitePast();  // without own pause
   // Number of live fronts, including this one, by time of observation.
   std::map<absl::Time, uint32_t> recent_front_counts_;
   // Returns the notices that were not sent yet and marks all as sent.
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -205,8 +205,12 @@
 }
 
 void PeerLink::ExpireSilentPeers(absl::Time now) {
+  // Datagrams may be lost while this process stands still: the silence of its
+  // peers counts from the end of the pause.
+  if (now - last_tick_ > kHeartbeatInterval) listening_since_ = now;
+  last_tick_ = now;
   for (auto it = live_peers_.begin(); it != live_peers_.end();) {
-    if (now - it->second.heard < kPeerTimeout) {
+    if (now - std::max(it->second.heard, listening_since_) < kPeerTimeout) {
       ++it;
       continue;
     }
