Stage duty: an answer to the renewal of an ended lease is ignored

Cause: a holder that steps down forgets its renewal in flight. Its time limit is measured by a clock that stops while the host is suspended, the lease by one that doesn't: after two suspensions the next lease is held within the 1.5 s of the call, and the late answer was taken for that lease. An error ended it, a success set its end to that of the earlier one, and the next tick ended it.

Fix: an answer counts only for the lease that it was asked for.

Checked beside it: answers to a grant or a claim count only in the state that waits for them, and the end of the lease is counted from the request, so that after a pause the next tick steps down before any order.

The stand-in store can now hold renewals back; it answers them at once as before unless told to.

--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -118,17 +118,21 @@
   if (is_renewing_) return;
   is_renewing_ = true;
   absl::Time sent = context_.boot_time();
-  CallStore(context_, context_.protocol.RenewLease(lease_), kCallTimeout,
-            [this, sent](int status, const std::string& /*body*/) {
-              is_renewing_ = false;
-              if (state_ != State::kHolding) return;
-              if (status != kOk) {
-                StepDown("store did not renew the lease");
-                return;
-              }
-              lease_sent_ = sent;
-              lease_ends_ = sent + kLeaseTime - kLeaseMargin;
-            });
+  CallStore(
+      context_, context_.protocol.RenewLease(lease_), kCallTimeout,
+      [this, sent, lease = lease_](int status, const std::string& /*body*/) {
+        // A suspended host takes the next lease within the time limit of
+        // a call for the one before.
+        if (lease != lease_) return;
+        is_renewing_ = false;
+        if (state_ != State::kHolding) return;
+        if (status != kOk) {
+          StepDown("store did not renew the lease");
+          return;
+        }
+        lease_sent_ = sent;
+        lease_ends_ = sent + kLeaseTime - kLeaseMargin;
+      });
 }
 
 void StageController::SendNextOrder() {
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -119,12 +119,19 @@
   } else if (path == "/chervilwick/kv-lease") {
     Reply(id, 200, {{"lease", next_lease_++}, {"ttl_ms", body["ttl_ms"]}});
   } else if (absl::StartsWith(path, "/chervilwick/kv-keep/")) {
-    Reply(id, 200, Json::object());
+    held_renewals_.push_back(id);
+    if (!holds_renewals_) AnswerRenewals(200);
   } else {
     Reply(id, 404, Json::object());
   }
 }
 
+void PlatformStore::AnswerRenewals(int status) {
+  for (ExchangeId it : held_renewals_) Reply(it, status, Json::object());
+  held_renewals_.clear();
+  holds_renewals_ = false;
+}
+
 Json PlatformStore::ItemJson(const std::string& key) const {
   const Item& item = items_.at(key);
   return {{"key", key},
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -34,6 +34,10 @@
   void PutWithoutNotify(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void SetFault(Fault fault) { fault_ = fault; }
+  // From now on, renewals of leases get no answer until AnswerRenewals.
+  void HoldRenewals() { holds_renewals_ = true; }
+  void AnswerRenewals(int status);
+  size_t held_renewals() const { return held_renewals_.size(); }
   // Discards the history. Open watches and watches that start at an older
   // revision get status 410.
   void CompactHistory();
@@ -77,6 +81,8 @@
   uint64_t next_lease_ = 1;
   uint64_t calls_ = 0;
   std::list<Watch> watches_;
+  bool holds_renewals_ = false;
+  std::vector<ExchangeId> held_renewals_;
 };
 
 // A request that an engine has started to run.
