Transport: an own pause is no silence of the peers

What operators saw: an entry or agent that stood still for 3 s dropped all its connections, with the messages that waited in them.

Cause: a connection was silent if nothing had been read from it for 3 s. After a pause within a turn the check ran before the waiting bytes were read, after a longer list of ready connections before all were (128 a turn).

Fix: silence counts from the end of the last pause of this process, which the distance of two checks shows.

--- a/include/chervilwick/wire/transport.h
+++ b/include/chervilwick/wire/transport.h
@@ -109,6 +109,8 @@
   absl::flat_hash_map<int, std::unique_ptr<Connection>> connections_;
   absl::flat_hash_map<NodeName, int> by_peer_;
   absl::Time next_check_ = absl::InfinitePast();
+  absl::Time last_check_ = absl::InfinitePast();
+  absl::Time listening_since_ = absl::InfinitePast();  // without own pause
   Duty duty_;
 };
 
--- a/lib/wire/transport.cc
+++ b/lib/wire/transport.cc
@@ -33,6 +33,8 @@
 constexpr absl::Duration kRedialInterval = absl::Milliseconds(500);
 // Peers send a heartbeat each second.
 constexpr absl::Duration kSilenceLimit = absl::Seconds(3);
+// This process stood still if its checks are further apart.
+constexpr absl::Duration kMaxCheckGap = absl::Seconds(1);
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
   size_t colon = text.rfind(':');
@@ -267,12 +269,16 @@
 }
 
 void Transport::CloseSilent(absl::Time now) {
+  // What came during an own pause has not been read yet.
+  if (now - last_check_ > kMaxCheckGap) listening_since_ = now;
+  last_check_ = now;
   std::vector<int> doomed;
   for (const auto& [fd, connection] : connections_) {
     bool withdrawn = !connection->dialed.empty() &&
                      std::find(peers_.begin(), peers_.end(),
                                connection->dialed) == peers_.end();
-    bool silent = now - connection->last_heard > kSilenceLimit;
+    bool silent = now - std::max(connection->last_heard, listening_since_) >
+                  kSilenceLimit;
     if (silent) ++stats_.silent_connections;
     if (silent || withdrawn) doomed.push_back(fd);
   }
--- a/unittests/wire/transport_test.cc
+++ b/unittests/wire/transport_test.cc
@@ -2,12 +2,21 @@
 
 #include "chervilwick/wire/transport.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "absl/time/clock.h"
 #include "chervilwick/support/bounded_ring.h"
+#include "chervilwick/wire/codec.h"
 
 namespace chervilwick {
 namespace {
@@ -67,5 +76,49 @@
   CHECK(problem->find("127.0.0.1:24803") != std::string::npos);
 }
 
+TEST_CASE("connections that sent during an own pause are not silent",
+          "[wire][pause]") {
+  // More than the transport reads in one turn.
+  constexpr size_t kConnections = 200;
+  // Longer than a connection may be silent.
+  constexpr std::chrono::milliseconds kPause{3300};
+  std::atomic<int> received{0};
+  std::string address = "127.0.0.1:24804";
+  TransportIdentity identity;
+  identity.name = NodeName("a");
+  identity.incarnation = Incarnation(1);
+  identity.hello.address = address;
+  Transport transport(identity, address, [&](const Envelope&) {
+    if (received++ == 0) std::this_thread::sleep_for(kPause);
+  });
+  REQUIRE_FALSE(transport.Bind().has_value());
+  transport.Start();
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(24804);
+  target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  std::vector<int> sockets;
+  for (size_t n = 0; n < kConnections; ++n) {
+    sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE(connect(sockets.back(), reinterpret_cast<sockaddr*>(&target),
+                    sizeof(target)) == 0);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  std::string frame = EncodeFrame(
+      {NodeName("b"), Incarnation(1), VersionNumber(1), ConfigPull{}});
+  auto send_frame = [&](int socket) {
+    REQUIRE(send(socket, frame.data(), frame.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(frame.size()));
+  };
+  send_frame(sockets[0]);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  for (int it : sockets) send_frame(it);
+  std::this_thread::sleep_for(kPause + std::chrono::milliseconds(500));
+  CHECK(transport.stats().silent_connections == 0);
+  CHECK(received == static_cast<int>(kConnections) + 1);
+  transport.Stop();
+  for (int it : sockets) close(it);
+}
+
 }  // namespace
 }  // namespace chervilwick
