Front: tests of stops that meet another event

A second SIGTERM, SIGINT after it, SIGTERM before the store has been read and while the store is down, settings that change during a stop, and a limit below the load balancer's delay of 2.6 s.

--- a/unittests/front/stop_limit_test.cc
+++ b/unittests/front/stop_limit_test.cc
@@ -1,6 +1,11 @@
 // What a stopping front takes, and what it does at its limit.
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -115,5 +120,109 @@
   CHECK(refused + StreamRuns(it) == streams.size());
 }
 
+// Runs the front until it has stopped; returns the time that it took.
+absl::Duration TimeToStop(TestDeployment& it) {
+  absl::Time began = it.loop.Now();
+  CHECK(it.front->Run());
+  return it.loop.Now() - began;
+}
+
+TEST_CASE("a second SIGTERM does not shorten a stop", "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = kLimit;
+  SetEventTime(it, absl::Milliseconds(300));
+  it.Start();
+  auto stream = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(100));
+  raise(SIGTERM);
+  it.loop.RunFor(absl::Milliseconds(500));
+  raise(SIGTERM);
+  raise(SIGINT);
+  CHECK(TimeToStop(it) < kLimit);
+  CHECK(stream->is_complete);
+  CHECK(stream->body == StreamEvents(1, 8));
+}
+
+TEST_CASE("a front that has read no store yet stops on SIGTERM",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = kLimit;
+  it.store.SetFault(PlatformStore::Fault::kSilent);
+  it.Start();
+  raise(SIGTERM);
+  it.loop.RunFor(absl::Milliseconds(100));
+  Answer answer = it.Get("GET", "/check/x");
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.head.keep_alive);
+  CHECK(TimeToStop(it) < kLimit);
+}
+
+TEST_CASE("a front whose store is down stops when its work is done",
+          "[front][stop]") {
+  for (auto fault :
+       {PlatformStore::Fault::kSilent, PlatformStore::Fault::kBusy}) {
+    TestDeployment it;
+    it.settings.shutdown_limit = kLimit;
+    it.Start();
+    it.store.SetFault(fault);
+    it.loop.RunFor(absl::Milliseconds(1200));
+    auto stream = it.SendRequest("POST", "/note/x");
+    it.loop.RunFor(absl::Milliseconds(20));
+    raise(SIGTERM);
+    CHECK(TimeToStop(it) < kLimit);
+    CHECK(stream->body == StreamEvents(1, 8));
+  }
+}
+
+TEST_CASE("settings that change during a stop do not move its limit",
+          "[front][stop]") {
+  TestDeployment it;
+  std::string file = absl::StrCat("stop-settings-", getpid(), ".yaml");
+  auto write = [&](const char* limit) {
+    std::ofstream(file) << "name: front-1\nzone: a\nclients: "
+                        << it.settings.clients
+                        << "\nready: " << it.settings.ready
+                        << "\ncontrol: " << it.settings.control
+                        << "\nmetrics: " << it.settings.metrics
+                        << "\npeers: " << it.settings.peers
+                        << "\nstore: " << it.settings.store
+                        << "\nshutdown_limit: " << limit << "\n";
+  };
+  write("2s");
+  it.settings_file = file;
+  it.settings.shutdown_limit = absl::Seconds(2);
+  SetEventTime(it, absl::Milliseconds(600));
+  it.Start();
+  auto stream = it.SendRequest("POST", "/note/x", "", 3000);
+  it.loop.RunFor(absl::Milliseconds(100));
+  absl::Time began = it.loop.Now();
+  raise(SIGTERM);
+  it.loop.RunFor(absl::Milliseconds(100));
+  write("60s");
+  raise(SIGHUP);
+  it.loop.RunFor(absl::Seconds(4));
+  CHECK(it.loop.Now() - began < absl::Seconds(2));
+  CHECK_THAT(it.LogText(), Catch::Contains("\"event\":\"reload\""));
+  std::remove(file.c_str());
+}
+
+TEST_CASE("a limit below the load balancer's delay bounds the stop",
+          "[front][stop]") {
+  TestDeployment it;
+  it.settings.shutdown_limit = absl::Seconds(1);
+  it.Start();
+  it.SetFaults({"s1", "s2"}, Fault::kNeverRespond);
+  auto call = it.SendRequest("GET", "/check/x");
+  it.loop.RunFor(absl::Milliseconds(50));
+  absl::Time began = it.loop.Now();
+  raise(SIGTERM);
+  auto late = it.SendRequest("POST", "/book/x");
+  CHECK_FALSE(it.front->Run());
+  CHECK(it.loop.Now() - began < absl::Seconds(1));
+  it.loop.RunFor(absl::Milliseconds(100));
+  CHECK(call->status == 504);
+  CHECK((late->status == 503 || late->status == 504));
+}
+
 }  // namespace
 }  // namespace chervilwick
