Entry: requests that are open at the end of a stop get their answer

What callers saw: at the shutdown limit of an entry all open requests were cut without an answer.

Cause: as in the front, the process left its loops at the limit.

Evidence, an operator's patch that waits for a store that can't be reached, and a stop with a limit of 2 s. Before: connection closed, no answer; after: 504, "outcome unknown".

Looked at and left: agents serve nothing but their own state over HTTP, and the entries repeat or resume what an agent cut.

--- a/include/chervilwick/entry/client_requests.h
+++ b/include/chervilwick/entry/client_requests.h
@@ -32,6 +32,8 @@
 
   void OnTokens(RequestId id, const std::vector<std::string>& tokens);
   void OnOutcome(RequestId id, const RequestOutcome& outcome);
+  // Ends all requests; whether they ran is unknown.
+  void EndAll();
   // Reports disconnects to the core that its full queue could not take before.
   void OnTick();
 
--- a/include/chervilwick/entry/entry_daemon.h
+++ b/include/chervilwick/entry/entry_daemon.h
@@ -37,8 +37,8 @@
   std::optional<std::string> Start();
   // Starts a graceful shutdown without waiting for it.
   void RequestStop();
-  // Waits until all requests have ended, at most for the shutdown limit.
-  // Returns whether they ended in time.
+  // Waits until all requests have ended. Those that are open shortly before the
+  // shutdown limit are answered as unknown. Returns whether there were none.
   bool WaitUntilDrained();
   void Stop();
 
@@ -79,6 +79,9 @@
 
  private:
   void CoreLoop();
+  // Has the HTTP front close once its requests have been answered.
+  void CloseHttp();
+  bool WaitUntilClosed(absl::Duration limit);
   void Perform(EntryAction action);
 
   const EntrySettings settings_;
--- a/include/chervilwick/entry/http_front.h
+++ b/include/chervilwick/entry/http_front.h
@@ -38,6 +38,8 @@
   // Stops listening. Calls `on_closed` on the HTTP thread once all requests
   // have been answered and all connections are closed.
   void CloseWhenDone(std::function<void()> on_closed);
+  // Answers the open requests: their outcome is unknown.
+  void EndOpenRequests();
 
  private:
   void OnRequest(ExchangeId id, const HttpRequest& request);
--- a/lib/entry/client_requests.cc
+++ b/lib/entry/client_requests.cc
@@ -194,6 +194,14 @@
   Close(id, done ? "ok" : outcome.code);
 }
 
+void ClientRequests::EndAll() {
+  std::vector<RequestId> open;
+  for (const auto& it : requests_) open.push_back(it.first);
+  for (RequestId it : open) {
+    OnOutcome(it, UnknownOutcome("this entry stopped before the outcome"));
+  }
+}
+
 void ClientRequests::RespondFailure(const Request& request,
                                     const RequestOutcome& outcome) {
   HttpResponse answer;
--- a/lib/entry/entry_daemon.cc
+++ b/lib/entry/entry_daemon.cc
@@ -16,6 +16,8 @@
 constexpr size_t kEventCapacity = 65536;
 constexpr absl::Duration kTickInterval = absl::Milliseconds(10);
 constexpr absl::Duration kPopTimeout = absl::Milliseconds(200);
+// Part of the shutdown limit that is reserved for answering open requests.
+constexpr double kShutdownMarginShare = 1.0 / 8;
 
 EntryOptions MakeOptions(const EntrySettings& settings,
                          Incarnation incarnation) {
@@ -110,11 +112,28 @@
 }
 
 bool EntryDaemon::WaitUntilDrained() {
+  absl::Duration margin = settings_.shutdown_limit * kShutdownMarginShare;
+  if (WaitUntilClosed(settings_.shutdown_limit - margin)) return true;
+  http_->EndOpenRequests();
+  CloseHttp();
+  WaitUntilClosed(margin / 2);
+  return false;
+}
+
+bool EntryDaemon::WaitUntilClosed(absl::Duration limit) {
   MutexLock lock(&state_mutex_);
-  return state_changed_.WaitFor(state_mutex_, settings_.shutdown_limit,
+  return state_changed_.WaitFor(state_mutex_, limit,
                                 [this] { return http_closed_; });
 }
 
+void EntryDaemon::CloseHttp() {
+  http_->CloseWhenDone([this] {
+    MutexLock lock(&state_mutex_);
+    http_closed_ = true;
+    state_changed_.NotifyAll();
+  });
+}
+
 void EntryDaemon::Stop() {
   if (stopping_.exchange(true)) return;
   kernel_.StopAll();
@@ -171,11 +190,7 @@
           [&](SpanEnded& it) { spans_->Record(it); },
           [&](EntryDrained&) {
             LogState("drained", {});
-            http_->CloseWhenDone([this] {
-              MutexLock lock(&state_mutex_);
-              http_closed_ = true;
-              state_changed_.NotifyAll();
-            });
+            CloseHttp();
           },
       },
       action);
--- a/lib/entry/http_front.cc
+++ b/lib/entry/http_front.cc
@@ -89,6 +89,13 @@
   });
 }
 
+void HttpFront::EndOpenRequests() {
+  service_.Post([this] {
+    clients_.EndAll();
+    admin_.OnTick(absl::InfiniteFuture());
+  });
+}
+
 void HttpFront::OnRequest(ExchangeId id, const HttpRequest& request) {
   const std::string& method = request.head.method;
   HttpTarget target = HttpTarget::Parse(request.head.target);
--- a/unittests/entry/http_front_test.cc
+++ b/unittests/entry/http_front_test.cc
@@ -107,5 +107,25 @@
   close(idle);
 }
 
+TEST_CASE("what is open at the limit of an entry's stop gets its answer",
+          "[entry]") {
+  EntrySettings settings = Settings();
+  settings.shutdown_limit = absl::Seconds(2);
+  Entry entry(settings);
+  std::string answer;
+  // Stays open, as the store can't be reached.
+  std::thread client([&] {
+    answer = entry.Fetch("POST", "/admin/config/patch",
+                         R"({"base":0,"patch":{},"author":"a","reason":"r"})");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  entry.daemon().RequestStop();
+  CHECK_FALSE(entry.daemon().WaitUntilDrained());
+  entry.daemon().Stop();
+  client.join();
+  CHECK_THAT(answer, Catch::Contains(" 504 "));
+  CHECK_THAT(answer, Catch::Contains("outcome unknown"));
+}
+
 }  // namespace
 }  // namespace chervilwick
