--- a/unittests/net/closing_test.cc
+++ b/unittests/net/closing_test.cc
@@ -144,6 +144,22 @@
   }
 }
 
+TEST_CASE("the next request on a kept connection is served though unread",
+          "[net][closing]") {
+  ClosingServer it;
+  int socket = it.Connect();
+  it.Send(socket, kRequest);
+  REQUIRE(absl::StrContains(ReadAvailable(socket), "200 OK"));
+  std::string next = kRequest;
+  REQUIRE(send(socket, next.data(), next.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(next.size()));
+  it.server.CloseAfterAnswers();
+  it.server.CloseIdle();
+  it.loop.RunFor(kSoon);
+  CHECK(absl::StrContains(ReadAvailable(socket), "200 OK"));
+  close(socket);
+}
+
 TEST_CASE("a connection just taken in may send its first request",
           "[net][closing]") {
   ClosingServer it;
