--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -87,6 +87,8 @@
 };
 struct MalformedItem {
   std::string reason;
+  // Server that the item would have named. It is not to be used.
+  std::optional<BackendName> backend = std::nullopt;
 };
 struct UnrelatedItem {};
 // The front that sends stage orders to engines; empty if there is none.
