Front: an odd version of an entry is logged once and names no engine

Besides, an engine whose entry became odd was used on, an entry with the front's own address made it forward a request to itself, and each reload of the list logged the same odd entries again.

Cause: StoreSync kept the last whole version of an entry, checked no address against its own, and remembered no malformed version.

Why it works: a malformed version drops the engine that an earlier version named ("names no engine to use"), the next whole version brings it back; own addresses are malformed; a revision that was logged is not logged again.

--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -65,6 +65,10 @@
   void RecordSuccess();
   void Apply(const StoreItem& item);
   void ApplyRemoval(const BackendName& id);
+  // Logs one line for each version of an item, and drops the server that an
+  // earlier version named.
+  void OnMalformed(const StoreItem& item, const MalformedItem& problem);
+  bool IsOwnAddress(const Endpoint& endpoint) const;
   void RemoveUnlisted();
   absl::Duration Backoff();
 
@@ -90,6 +94,7 @@
   absl::Time lapse_grace_end_ = absl::InfinitePast();
   std::set<std::string> loaded_keys_;
   std::map<std::string, StoreItem> items_;
+  std::map<std::string, uint64_t> malformed_;  // revisions that were logged
 };
 
 }  // namespace chervilwick
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -28,6 +28,8 @@
 // call. Each call has a price, and the rest of the limit is left to act on
 // them.
 constexpr double kBatchingShare = 0.1;
+// Malformed items whose revisions are remembered.
+constexpr size_t kMaxMalformed = 10000;
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
@@ -228,17 +230,17 @@
 void StoreSync::Apply(const StoreItem& item) {
   auto known = items_.find(item.key);
   if (known != items_.end() && known->second.revision > item.revision) return;
+  if (item.removed) malformed_.erase(item.key);
   ParsedStoreItem fact = context_.protocol.ParseItem(item);
+  auto* record = std::get_if<BackendRecord>(&fact);
+  if (record != nullptr && IsOwnAddress(record->endpoint)) {
+    // The front would forward its own requests to itself without end.
+    fact = MalformedItem{"address of this front", record->id};
+  }
   std::visit(
       Overloaded{
           [](UnrelatedItem&) {},
-          [&](MalformedItem& it) {
-            ++context_.stats.malformed_items;
-            context_.log.Write(context_.loop.Now(), "store_item_malformed",
-                               {{"key", item.key},
-                                {"revision", item.revision},
-                                {"reason", it.reason}});
-          },
+          [&](MalformedItem& it) { OnMalformed(item, it); },
           [&](BackendRecord& it) {
             items_[item.key] = item;
             listener_.on_backend(it);
@@ -259,6 +261,29 @@
       fact);
 }
 
+void StoreSync::OnMalformed(const StoreItem& item,
+                            const MalformedItem& problem) {
+  if (malformed_.size() >= kMaxMalformed) malformed_.clear();
+  auto [known, is_new] = malformed_.try_emplace(item.key, item.revision);
+  if (!is_new && known->second == item.revision) return;
+  known->second = item.revision;
+  ++context_.stats.malformed_items;
+  context_.log.Write(context_.loop.Now(), "store_item_malformed",
+                     {{"key", item.key},
+                      {"revision", item.revision},
+                      {"reason", problem.reason}});
+  if (problem.backend && items_.erase(item.key) > 0) {
+    listener_.on_removed(*problem.backend, context_.loop.Now());
+  }
+}
+
+bool StoreSync::IsOwnAddress(const Endpoint& endpoint) const {
+  const FrontSettings& own = context_.settings;
+  std::string text = endpoint.ToString();
+  return text == own.clients || text == own.ready || text == own.control ||
+         text == own.metrics || text == own.peers;
+}
+
 void StoreSync::ApplyRemoval(const BackendName& id) {
   absl::Time now = context_.loop.Now();
   listener_.on_removed(id, std::max(now, lapse_grace_end_));
