Engine client: odd JSON of an engine does not end the process

What callers saw: processes that end by themselves after one odd entry or answer (LOST). This is the older interface: the agent that calls vLLM engines.

Cause: members were read with json::value() and operator[] without a look at their type; these throw nlohmann::json::exception, and nothing catches it on the call's thread. Handles of another depth were encoded again, which is recursive.

Why it works: members are read by functions that look at the type first; an odd one counts as missing. What is nested deeper than 64 levels is left out while it is parsed.

Looked at and sound: lib/store/kv_json.cc, lib/config/version_json.cc and lib/store/host_list.cc catch what their readers throw.

--- a/lib/engine/engine_client.cc
+++ b/lib/engine/engine_client.cc
@@ -4,6 +4,8 @@
 
 #include <httplib.h>
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -52,6 +54,37 @@
 // The agent cancels calls at their deadline. The read timeout is longer by this
 // much and only bounds the wait of calls that are not cancelled.
 constexpr uint32_t kDeadlineSlackMs = 2000;
+// Deepest nesting that is kept of an engine's JSON. Encoding is recursive.
+constexpr int kMaxDepth = 64;
+
+// JSON from an engine; what is nested deeper is left out.
+json ParseOutside(std::string_view text) {
+  auto keep = [](int depth, json::parse_event_t event, const json& /*value*/) {
+    bool begins = event == json::parse_event_t::object_start ||
+                  event == json::parse_event_t::array_start;
+    return !begins || depth < kMaxDepth;
+  };
+  return json::parse(text, keep, /*allow_exceptions=*/false);
+}
+
+// The functions below read a member of a value of any type; a missing one, or
+// one of another type, counts as empty.
+json Member(const json& value, const char* name) {
+  auto it = value.find(name);
+  return it == value.end() ? json() : *it;
+}
+
+std::string TextMember(const json& value, const char* name) {
+  auto it = value.find(name);
+  return it != value.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+uint32_t CountMember(const json& value, const char* name) {
+  auto it = value.find(name);
+  if (it == value.end() || !it->is_number_unsigned()) return 0;
+  return static_cast<uint32_t>(std::min<uint64_t>(
+      it->get<uint64_t>(), std::numeric_limits<uint32_t>::max()));
+}
 
 std::unique_ptr<httplib::Client> Connect(const std::string& address,
                                          uint32_t timeout_ms) {
@@ -122,7 +155,7 @@
     finished.status = StatusForError(engine.address, result.error(), canceller);
     return finished;
   }
-  json answer = json::parse(result->body, nullptr, false);
+  json answer = ParseOutside(result->body);
   bool is_valid = result->status == kHttpOk && answer.is_object() &&
                   answer.contains("kv_transfer_params");
   if (!is_valid) {
@@ -130,9 +163,9 @@
     return finished;
   }
   finished.kv_params = answer["kv_transfer_params"].dump();
-  json usage = answer.value("usage", json::object());
-  json details = usage.value("prompt_tokens_details", json::object());
-  finished.prefix_hit_tokens = details.value("cached_tokens", 0U);
+  json usage = Member(answer, "usage");
+  json details = Member(usage, "prompt_tokens_details");
+  finished.prefix_hit_tokens = CountMember(details, "cached_tokens");
   return finished;
 }
 
@@ -141,7 +174,7 @@
   json body = MakeBody(start);
   body["max_tokens"] = start.output_tokens;
   body["stream"] = true;
-  body["kv_transfer_params"] = json::parse(start.kv_params, nullptr, false);
+  body["kv_transfer_params"] = ParseOutside(start.kv_params);
   EngineFinished finished;
   finished.attempt = start.attempt;
   SseReader events;
@@ -151,18 +184,12 @@
       completed = true;
       return;
     }
-    json event = json::parse(data, nullptr, false);
-    if (!event.is_object() || !event.contains("choices") ||
-        event["choices"].empty()) {
-      return;
-    }
-    const json& choice = event["choices"][0];
-    std::string text = choice.value("text", "");
+    json choices = Member(ParseOutside(data), "choices");
+    if (!choices.is_array() || choices.empty()) return;
+    std::string text = TextMember(choices[0], "text");
     if (!text.empty()) on_tokens({text});
-    auto reason = choice.find("finish_reason");
-    if (reason != choice.end() && reason->is_string()) {
-      finished.finish_reason = reason->get<std::string>();
-    }
+    std::string reason = TextMember(choices[0], "finish_reason");
+    if (!reason.empty()) finished.finish_reason = reason;
   };
   httplib::Request request = MakeRequest(start, "/v1/completions", body);
   int http_status = 0;
@@ -255,17 +282,17 @@
   auto client = Connect(engine.address, kProbeTimeoutSeconds * kMsPerSecond);
   httplib::Result result = client->Get("/v1/models");
   if (!result || result->status != kHttpOk) return status;
-  json answer = json::parse(result->body, nullptr, false);
+  json answer = ParseOutside(result->body);
   if (!answer.is_object() || !answer.contains("data")) return status;
   status.up = true;
   for (const json& it : answer["data"]) {
     if (!it.is_object()) continue;
     bool is_adapter = it.contains("parent") && it["parent"].is_string();
     if (is_adapter) {
-      status.adapters.push_back(it.value("id", ""));
+      status.adapters.push_back(TextMember(it, "id"));
     } else {
-      status.weights = it.value("root", "");
-      status.role = RoleByName(it.value("role", ""));
+      status.weights = TextMember(it, "root");
+      status.role = RoleByName(TextMember(it, "role"));
     }
   }
   return status;
