Tests: the stand-in engine sends answers to other requests

PlatformEngine::Fault::kMismatchedResponse did nothing, so the runs with random faults drew it without effect. It now writes a whole answer to another request, with a stamp, before the proper one.

The fault acts on plain, prefill and decode calls and on refusals.

--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -248,11 +248,21 @@
   return fault_;
 }
 
+HttpField PlatformEngine::ExtraAnswer(int status) {
+  ++extra_answers_;
+  return {"X-Request-Id",
+          absl::StrCat("another-", extra_answers_,
+                       "\r\nX-Response-Stamp: another\r\n"
+                       "Content-Length: 7\r\n\r\nforeignHTTP/1.1 ",
+                       status, " Proper")};
+}
+
 std::vector<HttpField> PlatformEngine::ResponseFields(
-    const HttpRequest& request, bool stamp) const {
-  std::vector<HttpField> fields = {
-      {"X-Request-Id", request.head.Get("X-Request-Id")},
-      {"X-Server-Load", "1,0,16,100"}};
+    const HttpRequest& request, bool stamp, int status) {
+  std::vector<HttpField> fields;
+  if (std::exchange(sends_extra_, false)) fields.push_back(ExtraAnswer(status));
+  fields.push_back({"X-Request-Id", request.head.Get("X-Request-Id")});
+  fields.push_back({"X-Server-Load", "1,0,16,100"});
   if (stamp) fields.push_back({"X-Response-Stamp", options_.id});
   if (leaving_) fields.push_back({"Server-Leaving", "1"});
   return fields;
@@ -261,7 +271,7 @@
 void PlatformEngine::Refuse(ExchangeId id, const HttpRequest& request,
                             int status) {
   ++refusals_;
-  std::vector<HttpField> fields = ResponseFields(request, false);
+  std::vector<HttpField> fields = ResponseFields(request, false, status);
   if (status == 503) fields.push_back({"X-Not-Run", "1"});
   if (status == 503 && !retry_after_.empty()) {
     fields.push_back({"Retry-After", retry_after_});
@@ -325,6 +335,7 @@
     return;
   }
   Fault fault = ConsumeFault();
+  sends_extra_ = fault == Fault::kMismatchedResponse;
   bool crashes = fault == Fault::kNone && !crash_target_.empty() &&
                  request.head.target == crash_target_;
   if (crashes) {
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -111,7 +111,7 @@
     kAbortStream,         // streams half of the events, then closes
     kFail,                // responds 500 (plain services only)
     kNeverRespond,        // accepts the request and sends nothing
-    kMismatchedResponse,  // not implemented: requests are served normally
+    kMismatchedResponse,  // sends an answer to another request first
     kNoStamp,             // responds 200 without a stamp (plain services only)
   };
 
@@ -139,6 +139,7 @@
   const std::vector<EngineRun>& runs() const { return runs_; }
   int prefills() const { return prefills_; }
   int refusals() const { return refusals_; }
+  int extra_answers() const { return extra_answers_; }
   uint64_t used_tokens() const { return used_tokens_; }
   std::vector<nlohmann::json> orders;
 
@@ -160,8 +161,11 @@
   void EndStream(ExchangeId id);
   void Refuse(ExchangeId id, const HttpRequest& request, int status);
   void RunAfter(absl::Duration delay, std::function<void()> action);
-  std::vector<HttpField> ResponseFields(const HttpRequest& request,
-                                        bool stamp) const;
+  std::vector<HttpField> ResponseFields(const HttpRequest& request, bool stamp,
+                                        int status = 200);
+  // Last field of an answer to another request, with its body and the status
+  // line of the proper answer, whose fields follow.
+  HttpField ExtraAnswer(int status);
   Fault ConsumeFault();
   void Crash();
 
@@ -186,6 +190,8 @@
   uint64_t used_tokens_ = 0;
   int prefills_ = 0;
   int refusals_ = 0;
+  int extra_answers_ = 0;
+  bool sends_extra_ = false;  // before the answer to the current request
 };
 
 }  // namespace chervilwick
--- a/unittests/front/plain_calls_test.cc
+++ b/unittests/front/plain_calls_test.cc
@@ -122,6 +122,28 @@
   CHECK(it.Runs("s1") + it.Runs("s2") == 3);
 }
 
+TEST_CASE("answer to another request is not forwarded", "[front]") {
+  TestDeployment it;
+  it.Start();
+  it.SetFaults({"p1", "d1", "d2", "s1", "s2"}, Fault::kMismatchedResponse);
+  for (int n = 0; n < 4; ++n) {
+    Answer booked = it.Get("POST", "/book/x");
+    CHECK(booked.status == 200);
+    CHECK(booked.body.find("answer of s") == 0);
+    CHECK(it.Get("GET", "/check/x").status == 200);
+    for (const char* target : {"/note/x", "/report/x"}) {
+      Answer stream = it.Get("POST", target);
+      CHECK(stream.is_complete);
+      CHECK(stream.body == StreamEvents(1, 8));
+    }
+  }
+  int extra = 0;
+  for (const auto& engine : it.engines) extra += engine.second->extra_answers();
+  // Two plain calls, and a prompt and a decode call of each of two streams.
+  CHECK(extra == 4 * 6);
+  CHECK(it.front->context().stats.mismatched_answers == 4 * 6);
+}
+
 TEST_CASE("slow idempotent call is hedged at another server", "[front]") {
   TestDeployment it;
   it.Start();
