Soak: fronts that run for milliseconds at a time

Standing still once hits the moment in which a connection is made only by chance; a front that runs 2 to 10 ms between pauses of 0.21 to 0.35 s hits it often.

A front that ends by a signal of its own during a stop counts as ended.

--- a/scripts/soak/checker.py
+++ b/scripts/soak/checker.py
@@ -69,7 +69,7 @@
     def take_exit(self, it):
         if it["who"].startswith("engine"):
             self.engine_exits[it["engine"]] = it["t"]
-        if it["how"] == "by itself":
+        if it["how"] == "by itself" or (it["how"] == "term" and it["code"] < 0):
             self.flag("ENDED", f"{it['who']} ended by itself with {it['code']}")
         elif it["how"] == "limit":
             if self.harmed(it["who"], it["since"], it["t"]):
--- a/scripts/soak/plan.py
+++ b/scripts/soak/plan.py
@@ -2,7 +2,7 @@
 
 import random
 
-PROFILES = ("calm", "stops", "restarts", "stalls", "busy", "mixed")
+PROFILES = ("calm", "stops", "restarts", "stalls", "throttles", "busy", "mixed")
 GAPS = ([0.06], [0.2], [1.0], [1.4], [0.06, 0.2, 1.0, 1.4])
 LENGTHS = ([2.4], [2.0, 5.0, 8.0], [8.0])
 MIXES = ([1, 1, 1, 1], [2, 2, 10, 1], [1, 1, 2, 8])
@@ -25,6 +25,8 @@
         actions += restarts(rng, fronts, last)
     if profile in ("stalls", "busy", "mixed"):
         actions += stalls(rng, fronts, last)
+    if profile == "throttles":
+        actions += throttles(rng, fronts, last)
     if profile == "mixed":
         actions = rng.sample(actions, len(actions) // 2)
         actions += others(rng, fronts, engines, last)
@@ -72,6 +74,21 @@
     return out
 
 
+def throttles(rng, fronts, last):
+    """All fronts stand still for longer than a connection may take to be made, and
+    run for milliseconds, again and again."""
+    out = []
+    for front in range(fronts):
+        t = FIRST_S + rng.uniform(0, 2)
+        while t < last:
+            out.append(action(t, "throttle", f"front-{front}",
+                              seconds=round(rng.uniform(1, 4), 2),
+                              off=round(rng.uniform(0.21, 0.35), 2),
+                              on=round(rng.uniform(0.002, 0.01), 3)))
+            t += out[-1]["seconds"] + rng.uniform(0.3, 2.0)
+    return out
+
+
 def others(rng, fronts, engines, last):
     out = []
     for _ in range(rng.randint(2, 6) + (fronts + engines) // 8):
--- a/unittests/soak/checker_test.py
+++ b/unittests/soak/checker_test.py
@@ -145,7 +145,8 @@
         self.check(records.add("end", 102.9, id="a", engine="engine-1-1", how="broke"))
         self.check(Records().cut(at=110.0).term(102.0))
         records = Records().cut().term(101.0)
-        self.check(records.add("exit", 102.0, who="engine-1", engine="engine-1-1", how="term"))
+        self.check(records.add("exit", 102.0, who="engine-1", engine="engine-1-1", how="term",
+                               code=0))
 
     def test_request_that_crosses_a_close(self):
         records = Records().term(99.0).send("a", "book")
@@ -239,6 +240,8 @@
     def test_front_that_ends_by_itself_or_at_the_limit(self):
         records = Records().add("exit", 100.0, who="front-0", how="by itself", code=-11)
         self.check(records, "ENDED")
+        records = Records().add("exit", 100.0, who="front-0", how="term", code=-11, since=99.0)
+        self.check(records, "ENDED")
         records = Records().add("exit", 108.0, who="front-0", how="limit", code=-9, since=100.0)
         self.check(records, "KILLED")
         self.check(records.fault("front-0", 107.0, 108.0))
