--- a/scripts/soak/checker.py
+++ b/scripts/soak/checker.py
@@ -276,7 +276,8 @@
                     late += 1
                     worst = f"{ident} at {it['engine']}: {it['deadline']} ms"
         if late > 20 and late > counted / 5:
-            self.flag("BUDGET-TIME", f"{late} of {counted} calls had more time than was left; {worst}")
+            self.flag("BUDGET-TIME",
+                      f"{late} of {counted} calls had more time than was left; {worst}")
 
     def summary(self):
         """Counts of the clients' requests."""
--- a/scripts/soak/client.py
+++ b/scripts/soak/client.py
@@ -38,7 +38,8 @@
             self.deadline = 2 * seconds + 4
         else:
             fault = "fail" if rng.random() < args.faults else ""
-            self.path = f"/{self.kind}/c?time={rng.uniform(0.005, 0.2):.3f}&fault={fault}&n={number}"
+            seconds = rng.uniform(0.005, 0.2)
+            self.path = f"/{self.kind}/c?time={seconds:.3f}&fault={fault}&n={number}"
             self.deadline = rng.choice((2.0, 4.0))
         # Some leave in the middle of a stream.
         self.leaves = self.kind in STREAMS and rng.random() < 0.03
--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -118,7 +118,8 @@
     # Each link: name, where its clients connect, and where it leads.
     def links(self):
         for index, name in enumerate(self.fronts):
-            yield f"clients>{name}", self.front_address(index, 8144), self.front_address(index, 8150)
+            clients, behind = self.front_address(index, 8144), self.front_address(index, 8150)
+            yield f"clients>{name}", clients, behind
             yield f"{name}>store", self.front_address(index, 8151), self.address(0, 8142)
         for index, name in enumerate(self.engines):
             yield name, self.address(100 + index, 8080), self.address(100 + index, 8081)
@@ -137,8 +138,9 @@
         for first in range(0, len(links), LINKS_PER_PROXY):
             part, proxy = links[first:first + LINKS_PER_PROXY], f"proxy-{first}"
             self.proxies.update({it[0]: proxy for it in part})
-            self.add(proxy, lambda n, proxy=proxy, part=part: self.python(
-                "proxy.py", self.path(proxy + ".jsonl"), *(f"{name}={listen}>{target}" for name, listen, target in part)))
+            words = [f"{name}={listen}>{target}" for name, listen, target in part]
+            self.add(proxy, lambda n, proxy=proxy, words=words: self.python(
+                "proxy.py", self.path(proxy + ".jsonl"), *words))
         for index, name in enumerate(self.engines):
             self.add(name, lambda n, index=index, name=name: self.engine(index, name, n))
         for index, name in enumerate(self.fronts):
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -32,8 +32,9 @@
     if whole * 4 < requests or not requests:
         broken["UNSERVED"] = [f"{whole} of {requests} requests have a whole answer"]
     verdict = "FAIL " + " ".join(f"{rule}={len(it)}" for rule, it in sorted(broken.items()))
+    faults = len(run.plan["actions"])
     print(f"seed {run.seed} {run.args.profile}: {verdict if broken else 'ok'}; "
-          f"{whole} of {total} whole, {cut} cut, {len(run.plan['actions'])} faults, {seconds:.0f} s")
+          f"{whole} of {total} whole, {cut} cut, {faults} faults, {seconds:.0f} s")
     if broken or run.args.verbose:
         print("  traffic:", json.dumps(run.plan["traffic"]))
         for it in run.plan["actions"] if broken else []:
@@ -98,7 +99,7 @@
     parser.add_argument("--length", type=numbers, help="seconds of a stream")
     parser.add_argument("--mix", type=numbers, help="weights of book, look, note, report")
     parser.add_argument("--build", default=os.path.join(ROOT, "build"))
-    parser.add_argument("--logs", default="/tmp/chervilwick-soak")
+    parser.add_argument("--logs", default=f"/tmp/chervilwick-soak/{os.getpid()}")
     parser.add_argument("--verbose", action="store_true")
     args = parser.parse_args()
     if args.fronts > MOST_FRONTS or args.engines > MOST_ENGINES:
@@ -136,6 +137,7 @@
         async with free:
             child = await asyncio.create_subprocess_exec(
                 sys.executable, __file__, *sys.argv[1:], f"--seeds={seed}..{seed}", "--jobs=1",
+                f"--logs={args.logs}",
                 stdout=asyncio.subprocess.PIPE, preexec_fn=deployment.end_with_parent)
             children.append(child)
             text, _ = await child.communicate()
