--- a/unittests/front/odd_entries_test.cc
+++ b/unittests/front/odd_entries_test.cc
@@ -44,7 +44,7 @@
   };
   return {"",
           "{",
-          "\xff\xfe\x00",
+          "\xff\xfe",
           Deep(300000),
           with_text("seq", Deep(100000)),
           with_text("slots", "1e999"),
