Event loop: a timer armed late in a turn does not fire early

Cause: libevent counts a timer from the time at which its turn began. A time-out of 200 ms that is armed after a pause of 200 ms in the same turn has expired already.

Why it works: a timer knows when it is due by the steady clock, and one that libevent fires earlier is scheduled again for the rest.

--- a/include/chervilwick/net/event_loop.h
+++ b/include/chervilwick/net/event_loop.h
@@ -96,6 +96,7 @@
  private:
   friend class EventLoop;
   static void OnExpiry(int descriptor, int16_t what, void* context);
+  void Schedule(absl::Duration delay);
 
   EventLoop& loop_;
   event* event_;
--- a/lib/net/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -16,6 +16,8 @@
 constexpr int kIdlePriority = 2;
 // A timer is late from here on.
 constexpr absl::Duration kLateness = absl::Milliseconds(2);
+// A timer may fire earlier by this.
+constexpr absl::Duration kTimerResolution = absl::Milliseconds(1);
 // Longest work of the thread before a late timer fires although input is left.
 constexpr absl::Duration kMaxLateWork = absl::Milliseconds(10);
 
@@ -203,6 +205,10 @@
   // Without a delay a timer is a call from the next turn, which is never late.
   due_ = delay == absl::ZeroDuration() ? absl::InfiniteFuture()
                                        : loop_.Now() + delay;
+  Schedule(delay);
+}
+
+void Timer::Schedule(absl::Duration delay) {
   timeval period = NonNegativeTimeval(delay);
   event_add(event_, &period);
 }
@@ -214,7 +220,12 @@
 
 void Timer::OnExpiry(int /*descriptor*/, int16_t /*what*/, void* context) {
   auto& self = *static_cast<Timer*>(context);
-  if (self.loop_.Now() - self.due_ > kLateness) {
+  absl::Duration late = self.loop_.Now() - self.due_;
+  bool has_due = self.due_ != absl::InfiniteFuture();
+  if (has_due && late < -kTimerResolution) {
+    // libevent counts from the start of the turn in which the timer was armed.
+    self.Schedule(-late);
+  } else if (late > kLateness) {
     self.loop_.AddLate(&self);
   } else {
     self.callback_();
--- a/unittests/net/event_loop_test.cc
+++ b/unittests/net/event_loop_test.cc
@@ -78,6 +78,22 @@
   CHECK(heard_before == kManyPipes);
 }
 
+TEST_CASE("a timer armed after a pause within a turn does not fire early",
+          "[net][pause]") {
+  EventLoop loop;
+  absl::Time armed;
+  absl::Time fired = absl::InfinitePast();
+  Timer timer(loop, [&] { fired = loop.Now(); });
+  Timer turn(loop, [&] {
+    StandStill(kPause);
+    armed = loop.Now();
+    timer.Arm(kDelay);
+  });
+  turn.Arm(absl::Milliseconds(1));
+  loop.RunFor(2 * kPause);
+  CHECK(fired >= armed + kDelay - absl::Milliseconds(1));
+}
+
 TEST_CASE("a timer armed with a due time in the past lets input go first",
           "[net][pause]") {
   EventLoop loop;
