--- a/unittests/wire/transport_test.cc
+++ b/unittests/wire/transport_test.cc
@@ -79,9 +79,9 @@
 TEST_CASE("connections that sent during an own pause are not silent",
           "[wire][pause]") {
   // More than the transport reads in one turn.
-  constexpr size_t kConnections = 200;
+  const size_t connections = 200;
   // Longer than a connection may be silent.
-  constexpr std::chrono::milliseconds kPause{3300};
+  const std::chrono::milliseconds pause{3300};
   std::atomic<int> received{0};
   std::string address = "127.0.0.1:24804";
   TransportIdentity identity;
@@ -89,7 +89,7 @@
   identity.incarnation = Incarnation(1);
   identity.hello.address = address;
   Transport transport(identity, address, [&](const Envelope&) {
-    if (received++ == 0) std::this_thread::sleep_for(kPause);
+    if (received++ == 0) std::this_thread::sleep_for(pause);
   });
   REQUIRE_FALSE(transport.Bind().has_value());
   transport.Start();
@@ -98,7 +98,7 @@
   target.sin_port = htons(24804);
   target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   std::vector<int> sockets;
-  for (size_t n = 0; n < kConnections; ++n) {
+  for (size_t n = 0; n < connections; ++n) {
     sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
     REQUIRE(connect(sockets.back(), reinterpret_cast<sockaddr*>(&target),
                     sizeof(target)) == 0);
@@ -113,9 +113,9 @@
   send_frame(sockets[0]);
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   for (int it : sockets) send_frame(it);
-  std::this_thread::sleep_for(kPause + std::chrono::milliseconds(500));
+  std::this_thread::sleep_for(pause + std::chrono::milliseconds(500));
   CHECK(transport.stats().silent_connections == 0);
-  CHECK(received == static_cast<int>(kConnections) + 1);
+  CHECK(received == static_cast<int>(connections) + 1);
   transport.Stop();
   for (int it : sockets) close(it);
 }
