--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -24,6 +24,8 @@
 
 const absl::Time kNow = absl::UnixEpoch() + absl::Seconds(5);
 
+constexpr int kLines = 1000;  // more than a pipe holds
+
 class Pipe {
  public:
   Pipe() {
@@ -71,7 +73,6 @@
           "[telemetry]") {
   Pipe pipe;
   DecisionLog log(pipe.writer(), "front-1");
-  constexpr int kLines = 1000;  // more than a pipe holds
   for (int n = 0; n < kLines; ++n) {
     log.Write(kNow, "sent", {{"text", std::string(150, 'x')}});
   }
@@ -92,7 +93,7 @@
           "[telemetry]") {
   Pipe pipe;
   DecisionLog log(pipe.writer(), "front-1");
-  for (int n = 0; n < 1000; ++n) {
+  for (int n = 0; n < kLines; ++n) {
     log.Write(kNow, "sent", {{"text", std::string(150, 'x')}});
   }
   absl::Time began = absl::Now();
