Retry budget: restarts and changes of front add nothing

Users counted more repeats than ratio x requests + slack in windows with several starts of fronts.

Cause: each process had half of its front's slack at its start, whatever its predecessor had taken in the same window, and the start was taken to be the first question. A series of restarts added up, and a front that had run for long had half of its slack at its first retry. Also, the ratio applied to each front's own last window: as fronts take their last retries of a window at different times, clients that change fronts (at each restart) counted for both.

The front's fixture declares that its front has run for a window, as most cases are not about the start.

--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -43,6 +43,10 @@
   // Starts a graceful stop, as SIGTERM does.
   void BeginShutdown();
   bool IsReady() const;
+  // Sets when this process started, for its share of the retry budget.
+  void SetStartTime(absl::Time started) {
+    context_.quota.SetStartTime(started);
+  }
   const FrontContext& context() const { return context_; }
   // Replaces the host's boot-time clock, which counts suspended time.
   void SetBootClock(std::function<absl::Time()> clock) {
--- a/lib/emulator/front_parts.h
+++ b/lib/emulator/front_parts.h
@@ -20,7 +20,8 @@
   RepeatBook(EventQueue& queue, const FrontModelOptions& options)
       : queue_(queue),
         service_(options.service),
-        quota_({options.retry_ratio, options.retry_slack, kWindow}) {
+        quota_({options.retry_ratio, options.retry_slack, kWindow},
+               queue.now()) {
     quota_.SetFrontCount(options.fronts);
   }
 
--- a/lib/front/front_context.cc
+++ b/lib/front/front_context.cc
@@ -33,7 +33,8 @@
       scheduler(backends, ZoneName(front_settings.zone),
                 StreamSchedulerOptions()),
       quota({front_settings.retry_ratio, front_settings.retry_slack,
-             front_settings.retry_window}),
+             front_settings.retry_window},
+            event_loop.Now()),
       boot_time(BootTime) {}
 
 void FrontContext::RecordAnswer(const BackendName& backend,
--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -75,6 +75,8 @@
   std::optional<std::string> problem = front->Start();
   INFO(problem.value_or(""));
   REQUIRE_FALSE(problem.has_value());
+  // Most of the retry budget is for fronts that have run for a window.
+  front->SetStartTime(loop.Now() - settings.retry_window);
   loop.RunFor(absl::Milliseconds(150));
 }
 
