Retry budget: a retry without a send goes back

Callers were refused retries that the budget should have had.

Cause: a hedge or a repeat of a plain call took its retry before it looked for a server. Where there was no other server, nothing was sent and the retry was gone: each slow call of a service with one server used up one.

Now the server is chosen first. Each attempt knows when its retry was taken; if the call reached no server, that retry is returned and the next send takes its own.

--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -34,11 +34,16 @@
     BackendName backend;
     int64_t born_unix_ms = 0;  // start time of the server
     absl::Time sent;
+    std::optional<absl::Time> retry_taken;  // from the retry budget
     HttpHead head;
     std::string body;
   };
 
-  void Send();
+  // Returns the backend server for the next send; null if there is none.
+  BackendState* NextBackend();
+  // Ends the request, which can't be sent again, unless a run is still open.
+  void EndWithoutBackend();
+  void Send(BackendState& target, std::optional<absl::Time> retry_taken);
   // Stops sending if the request is quarantined because servers crashed while
   // running it. Fails the request unless a run is still open. Returns
   // whether the request is quarantined.
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -4,8 +4,8 @@
 #define CHERVILWICK_FRONT_RELAY_H_
 
 #include <memory>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -81,11 +81,11 @@
   // how the loss was detected. The fingerprint lets the logs of all fronts be
   // searched for a request that crashes servers.
   void LogLostRun(absl::string_view backend, absl::string_view sign);
-  // Takes one retry from the service's retry budget. Returns false if the
-  // budget is used up.
-  bool TakeRepeat();
-  // Returns the retry that TakeRepeat() took last: its call was not sent.
-  void ReturnRepeat();
+  // Takes one retry from the service's retry budget and returns when it was
+  // taken; nullopt if the budget is used up.
+  std::optional<absl::Time> TakeRepeat();
+  // Returns the retry that was taken at `taken`: its call was not sent.
+  void ReturnRepeat(absl::Time taken);
   bool is_finished() const { return is_finished_; }
   FrontContext& context() const { return context_; }
 
@@ -96,7 +96,6 @@
   AdmittedRequest admitted_;
   Finished finished_;
   Timer timeout_;
-  std::vector<absl::Time> repeats_taken_;
   bool is_finished_ = false;
 };
 
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chervilwick/dispatch/stream_lifecycle.h"
 #include "chervilwick/front/event_splitter.h"
@@ -92,6 +93,7 @@
   EngineCall prompt_call_;
   EngineCall decode_call_;
   std::optional<PromptHandle> handle_;
+  std::vector<absl::Time> repeats_taken_;
   EventSplitter events_;
   Timer timer_;
 };
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -40,7 +40,12 @@
 PlainRelay::~PlainRelay() { CancelAll(); }
 
 void PlainRelay::Start() {
-  Send();
+  BackendState* backend = NextBackend();
+  if (backend == nullptr) {
+    EndWithoutBackend();
+    return;
+  }
+  Send(*backend, std::nullopt);
   if (!is_finished() && MayRunAgain()) {
     hedge_timer_.Arm(admitted().route.objective * kHedgeDelayFraction);
   }
@@ -68,7 +73,7 @@
   return true;
 }
 
-void PlainRelay::Send() {
+BackendState* PlainRelay::NextBackend() {
   ZoneName zone(context().settings.zone);
   BackendState* backend = ChooseForCall(context().backends, admitted().service,
                                         zone, tried_backends_, Now());
@@ -78,17 +83,23 @@
     backend = ChooseForCall(context().backends, admitted().service, zone,
                             failed_backends_, Now());
   }
-  if (backend == nullptr) {
-    if (!attempts_.empty()) return;
-    if (failure_answer_) {
-      Deliver(*failure_answer_);
-    } else if (runs_ > 0) {
-      RespondWithError({502, "no_other_backend"});
-    } else {
-      RespondWithError(NoBackendError());
-    }
-    return;
+  return backend;
+}
+
+void PlainRelay::EndWithoutBackend() {
+  if (!attempts_.empty()) return;
+  if (failure_answer_) {
+    Deliver(*failure_answer_);
+  } else if (runs_ > 0) {
+    RespondWithError({502, "no_other_backend"});
+  } else {
+    RespondWithError(NoBackendError());
   }
+}
+
+void PlainRelay::Send(BackendState& target,
+                      std::optional<absl::Time> retry_taken) {
+  BackendState* backend = &target;
   ++sends_;
   ++runs_;
   uint32_t number = sends_;
@@ -102,6 +113,7 @@
   attempt.backend = backend->record.id;
   attempt.born_unix_ms = backend->record.born_unix_ms;
   attempt.sent = Now();
+  attempt.retry_taken = retry_taken;
   tried_backends_.insert(attempt.backend);
   backend->own += {1, 0, 0};
   attempt.call = context().client.Start(
@@ -162,7 +174,9 @@
     ReportUnreachable(attempt.backend);
     --runs_;
     LogBackendError("not_sent", attempt.backend.value(), "connection failed");
-    ResendOrFail(BudgetUse::kNone,
+    // The next send takes its own retry, in the window in which it arrives.
+    if (attempt.retry_taken) ReturnRepeat(*attempt.retry_taken);
+    ResendOrFail(attempt.retry_taken ? BudgetUse::kRetry : BudgetUse::kNone,
                  {503, "backend_unreachable", kRetryAfterNone});
     return;
   }
@@ -202,9 +216,18 @@
   if (FailIfQuarantined()) return;
   bool may_send = sends_ < kMaxSends && !is_client_gone_ &&
                   Remaining() > absl::ZeroDuration();
-  if (may_send && (budget_use == BudgetUse::kNone || TakeRepeat())) {
-    Send();
-    return;
+  if (may_send) {
+    BackendState* backend = NextBackend();
+    if (backend == nullptr) {
+      EndWithoutBackend();
+      return;
+    }
+    std::optional<absl::Time> taken;
+    if (budget_use == BudgetUse::kRetry) taken = TakeRepeat();
+    if (budget_use == BudgetUse::kNone || taken) {
+      Send(*backend, taken);
+      return;
+    }
   }
   if (!attempts_.empty()) return;
   if (failure_answer_) {
@@ -271,10 +294,13 @@
   if (context().quota.RetriesLeft(admitted().service, Now()) < kHedgeReserve) {
     return;
   }
-  if (!TakeRepeat()) return;
+  BackendState* backend = NextBackend();
+  if (backend == nullptr) return;
+  std::optional<absl::Time> taken = TakeRepeat();
+  if (!taken) return;
   LogBackendError("slow", attempts_.begin()->second.backend.value(),
                   "hedged run started");
-  Send();
+  Send(*backend, taken);
 }
 
 void PlainRelay::Deliver(const Attempt& attempt) {
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -124,20 +124,18 @@
                       {"sign", sign}});
 }
 
-bool Relay::TakeRepeat() {
-  if (context_.quota.TryTake(admitted_.service, Now())) {
-    repeats_taken_.push_back(Now());
+std::optional<absl::Time> Relay::TakeRepeat() {
+  absl::Time now = Now();
+  if (context_.quota.TryTake(admitted_.service, now)) {
     ++context_.stats.repeated_sends;
-    return true;
+    return now;
   }
   ++context_.stats.quota_refusals;
-  return false;
+  return std::nullopt;
 }
 
-void Relay::ReturnRepeat() {
-  if (repeats_taken_.empty()) return;
-  context_.quota.Return(admitted_.service, repeats_taken_.back());
-  repeats_taken_.pop_back();
+void Relay::ReturnRepeat(absl::Time taken) {
+  context_.quota.Return(admitted_.service, taken);
   --context_.stats.repeated_sends;
 }
 
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -72,9 +72,16 @@
                            : traits->handle_lifetime;
 }
 
-bool StreamRelay::TakeRepeat() { return Relay::TakeRepeat(); }
+bool StreamRelay::TakeRepeat() {
+  std::optional<absl::Time> taken = Relay::TakeRepeat();
+  if (taken) repeats_taken_.push_back(*taken);
+  return taken.has_value();
+}
 
-void StreamRelay::ReturnRepeat() { Relay::ReturnRepeat(); }
+void StreamRelay::ReturnRepeat() {
+  Relay::ReturnRepeat(repeats_taken_.back());
+  repeats_taken_.pop_back();
+}
 
 bool StreamRelay::HasRepeats(uint32_t repeats) {
   return context().quota.RetriesLeft(admitted().service, Now()) >= repeats;
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -136,6 +136,7 @@
   // Retry-After value of refusals; empty for none.
   void SetRetryAfter(std::string value) { retry_after_ = std::move(value); }
   void SetEventTime(absl::Duration time) { options_.event_time = time; }
+  void SetPlainTime(absl::Duration time) { options_.plain_time = time; }
   void SetPromptRate(double tokens_per_ms) {
     options_.prompt_tokens_per_ms = tokens_per_ms;
   }
--- a/unittests/front/replacement_test.cc
+++ b/unittests/front/replacement_test.cc
@@ -62,6 +62,7 @@
   }
   it.Start();
   std::vector<std::shared_ptr<Answer>> answers;
+  answers.reserve(6);
   for (int n = 0; n < 6; ++n) {
     answers.push_back(it.SendRequest("POST", "/report/x", "", kDeadlineMs));
   }
