Streams: the log tells a refused replacement from a resumed stream

From the log one could not tell whether a silent stream asked for another engine and was refused (and why), or was resumed: there was `decode_silent` and then the end.

New lines: `replacement_sought`, `replacement_refused` and `replacement_withdrawn` with the reason, `resumed` with the engine and the event after which it goes on, `prompt_silent`. Replacements that the budget refuses count in front_quota_refusals_total.

Before: the timeline's rows were `replacement_refused` without a reason (telemetry_test); the lines did not exist.

--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -224,6 +224,10 @@
   forward.resume_after =
       events_.last_id() ? events_.last_id() : admitted().facts.last_event;
   events_.DiscardRemainder();
+  if (lifecycle_.is_streaming()) {
+    Log("resumed", engine.value(),
+        absl::StrCat("after event ", forward.resume_after.value_or(0)));
+  }
   Call(decode_call_, *context().backends.Find(engine), forward,
        CallOptions::kNoBodyLimit,
        [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
@@ -336,8 +340,27 @@
                   is_prompt ? "no answer in time" : "no event received");
 }
 
-void StreamRelay::OnReplacement(ReplacementStep /*step*/,
-                                absl::string_view /*reason*/) {}
+void StreamRelay::OnReplacement(ReplacementStep step,
+                                absl::string_view reason) {
+  const std::string& engine =
+      (lifecycle_.phase() == Phase::kPrompt ? lifecycle_.prompt_engine()
+                                            : lifecycle_.decode_engine())
+          .value();
+  switch (step) {
+    case ReplacementStep::kSought:
+      Log("replacement_sought", engine, "");
+      return;
+    case ReplacementStep::kRefused:
+      if (reason == ReasonText(StreamRefusalReason::kNoRetryBudget)) {
+        ++context().stats.quota_refusals;
+      }
+      Log("replacement_refused", engine, reason);
+      return;
+    case ReplacementStep::kWithdrawn:
+      Log("replacement_withdrawn", engine, reason);
+      return;
+  }
+}
 
 bool StreamRelay::WasSent(const EngineCall& call) const {
   return call.id.value() != 0 && !context().client.IsUnsent(call.id);
--- a/lib/telemetry/log_timeline.cc
+++ b/lib/telemetry/log_timeline.cc
@@ -42,9 +42,10 @@
                                                         "log_lines_dropped"};
 // Events of one backend server that are told apart by it: trouble at one looks
 // unlike trouble at all.
-constexpr std::array<absl::string_view, 8> kTroubles = {
-    "broke_off",      "decode_broke_off", "decode_silent", "decode_refused",
-    "prefill_failed", "not_run",          "not_sent",      "unproven_answer"};
+constexpr std::array<absl::string_view, 9> kTroubles = {
+    "broke_off",      "decode_broke_off", "decode_silent",
+    "decode_refused", "prefill_failed",   "prompt_silent",
+    "not_run",        "not_sent",         "unproven_answer"};
 
 std::string RowName(const LogLine& line) {
   if (line.event == "request_done") {
@@ -58,6 +59,10 @@
   if (line.event == "run_lost") {
     return absl::StrCat("run_lost ", line.Text("sign"));
   }
+  if (line.event == "replacement_refused" ||
+      line.event == "replacement_withdrawn") {
+    return absl::StrCat(line.event, " ", line.Text("detail"));
+  }
   if (line.event == "backend") {
     return absl::StrCat("backend ", line.Text("change"));
   }
--- a/unittests/front/replacement_test.cc
+++ b/unittests/front/replacement_test.cc
@@ -35,6 +35,15 @@
   }
 }
 
+// Counts the lines of an event that contain `text`.
+int64_t Lines(const RequestStory& story, const std::string& event,
+              const std::string& text = "") {
+  return std::count_if(
+      story.lines.begin(), story.lines.end(), [&](const StoryLine& it) {
+        return it.event == event && it.fields.find(text) != std::string::npos;
+      });
+}
+
 // Starts a stream and then silences its engine for good. Returns that engine.
 PlatformEngine& SilenceDuringStream(TestDeployment& it,
                                     std::shared_ptr<Answer>& answer) {
@@ -85,6 +94,10 @@
   CHECK(it.Runs("d1") + it.Runs("d2") == 2);
   CHECK(silent.runs().at(0).cancelled);
   CHECK(it.front->context().backends.OwnUse().empty());
+  RequestStory story = it.Story("id1");
+  CHECK(Lines(story, "replacement_sought") == 1);
+  CHECK(Lines(story, "replacement_refused") == 0);
+  CHECK(Lines(story, "resumed") == 1);
 }
 
 TEST_CASE("a silent stream without retry budget ends as stalled, not earlier",
@@ -100,7 +113,10 @@
   CHECK_FALSE(silent.runs().at(0).cancelled);
   RunUntilEnd(it, *answer, absl::Seconds(2));
   CHECK(answer->is_broken);
-  CHECK(it.Story("id1").reason == "engine_stalled");
+  RequestStory story = it.Story("id1");
+  CHECK(story.reason == "engine_stalled");
+  CHECK(Lines(story, "replacement_refused", "retry_budget_used_up") > 0);
+  CHECK(Lines(story, "resumed") == 0);
   CHECK(silent.runs().at(0).cancelled);
   CHECK(it.Runs("d1") + it.Runs("d2") == 1);
 }
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -152,6 +152,25 @@
   CHECK(TimelineJson(*timeline)["rows"]["broke_off s1"][1] == 2);
 }
 
+TEST_CASE("a timeline tells why silent engines were not replaced",
+          "[telemetry]") {
+  std::stringstream logs(
+      "{\"t\":10,\"process\":\"f1\",\"event\":\"clock\","
+      "\"wall\":\"2026-01-01T10:00:10+00:00\"}\n"
+      "{\"t\":11,\"process\":\"f1\",\"event\":\"replacement_refused\","
+      "\"id\":\"a\",\"detail\":\"retry_budget_used_up\"}\n"
+      "{\"t\":11,\"process\":\"f1\",\"event\":\"prompt_silent\","
+      "\"id\":\"b\",\"backend\":\"p1\"}\n"
+      "{\"t\":11,\"process\":\"f1\",\"event\":\"resumed\",\"id\":\"b\"}\n");
+  auto timeline = ReadTimeline(logs, absl::Seconds(2));
+  REQUIRE(timeline);
+  std::vector<std::string> rows;
+  for (const auto& it : timeline->rows) rows.push_back(it.what);
+  CHECK(rows == std::vector<std::string>{
+                    "prompt_silent p1",
+                    "replacement_refused retry_budget_used_up", "resumed"});
+}
+
 TEST_CASE("a start on a host that lost power is timed by its own clock line",
           "[telemetry]") {
   std::stringstream logs(
