--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -80,9 +80,16 @@
                            : traits->handle_lifetime;
 }
 
-bool StreamRelay::TakeRepeat() { return Relay::TakeRepeat(); }
+bool StreamRelay::TakeRepeat() {
+  std::optional<absl::Time> taken = Relay::TakeRepeat();
+  if (taken) repeats_taken_.push_back(*taken);
+  return taken.has_value();
+}
 
-void StreamRelay::ReturnRepeat() { Relay::ReturnRepeat(); }
+void StreamRelay::ReturnRepeat() {
+  Relay::ReturnRepeat(repeats_taken_.back());
+  repeats_taken_.pop_back();
+}
 
 bool StreamRelay::HasRepeats(uint32_t repeats) {
   return context().quota.RetriesLeft(admitted().service, Now()) >= repeats;
@@ -222,6 +229,10 @@
   // The first run of a response is forwarded as the engine sends it.
   events_.BeginRun(lifecycle_.is_streaming() ? forward.resume_after
                                              : std::nullopt);
+  if (lifecycle_.is_streaming()) {
+    Log("resumed", engine.value(),
+        absl::StrCat("after event ", forward.resume_after.value_or(0)));
+  }
   Call(decode_call_, *context().backends.Find(engine), forward,
        CallOptions::kNoBodyLimit,
        [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
@@ -362,8 +373,27 @@
                   is_prompt ? "no answer in time" : "no event received");
 }
 
-void StreamRelay::OnReplacement(ReplacementStep /*step*/,
-                                absl::string_view /*reason*/) {}
+void StreamRelay::OnReplacement(ReplacementStep step,
+                                absl::string_view reason) {
+  const std::string& engine =
+      (lifecycle_.phase() == Phase::kPrompt ? lifecycle_.prompt_engine()
+                                            : lifecycle_.decode_engine())
+          .value();
+  switch (step) {
+    case ReplacementStep::kSought:
+      Log("replacement_sought", engine, "");
+      return;
+    case ReplacementStep::kRefused:
+      if (reason == ReasonText(StreamRefusalReason::kNoRetryBudget)) {
+        ++context().stats.quota_refusals;
+      }
+      Log("replacement_refused", engine, reason);
+      return;
+    case ReplacementStep::kWithdrawn:
+      Log("replacement_withdrawn", engine, reason);
+      return;
+  }
+}
 
 bool StreamRelay::WasSent(const EngineCall& call) const {
   return call.id.value() != 0 && !context().client.IsUnsent(call.id);
