--- a/unittests/front/odd_entries_test.cc
+++ b/unittests/front/odd_entries_test.cc
@@ -167,7 +167,7 @@
   CheckServes(it);
 }
 
-// Guards against times without end, which overflowed timers and fired at once.
+// The longest times must not be taken for times that have passed.
 TEST_CASE("times without end in a configuration do not end anything at once",
           "[front][odd]") {
   TestDeployment it;
