Streams: a refused replacement is reported for the silent engine

What callers saw: LOST; a front can end by itself and cut all that it has, when the replacement of a silent prompt call is refused. Silent prompts also wait for a retry that they don't need.

Cause: the refusal is reported while the step of the replacement is still in place, so that the open prompt call is taken for that step's. Where the replacement has no prompt call, an empty name is read. The refusal comes if the request is quarantined while the replacement is queued, or if more retries were taken than the budget allows by now: then it has less than none, and a replacement that needs none was refused too.

Why it works: the replacement is dropped before its refusal is reported, and the budget is asked only for retries that are missing.

The stand-in of the port has a budget that may be overdrawn, as the front's, and asks for the engine in every report, as the front does.

--- a/lib/dispatch/stream_replacement.cc
+++ b/lib/dispatch/stream_replacement.cc
@@ -172,7 +172,7 @@
   // since the open call may be about to succeed and would need none.
   uint32_t needed = counted_sends_ + (next_->placement.prefill ? 1 : 0);
   uint32_t missing = needed > retries_taken_ ? needed - retries_taken_ : 0;
-  if (!port_.HasRepeats(missing)) {
+  if (missing > 0 && !port_.HasRepeats(missing)) {
     OnReplacementRefused(ReasonText(StreamRefusalReason::kNoRetryBudget), now);
     return;
   }
@@ -242,12 +242,12 @@
 
 void StreamLifecycle::OnReplacementRefused(absl::string_view reason,
                                            absl::Time now) {
-  port_.OnReplacement(ReplacementStep::kRefused, reason);
   // The prompt has been read for this replacement.
   if (replacement_ == Replacement::kPrompt) DropHandle();
   Release(next_);
   next_.reset();
   replacement_ = Replacement::kNone;
+  port_.OnReplacement(ReplacementStep::kRefused, reason);
   ask_at_ = now + kSeekInterval;
   ArmTimer(now);
 }
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -27,13 +27,14 @@
     return absl::Milliseconds(500);
   }
   bool TakeRepeat() override {
-    if (repeats_left == 0) return false;
+    if (repeats_left <= 0) return false;
     --repeats_left;
     return true;
   }
   void ReturnRepeat() override { ++repeats_left; }
   bool HasRepeats(uint32_t repeats) override {
-    return static_cast<uint32_t>(repeats_left) >= repeats;
+    // Negative once requests leave the window.
+    return repeats_left >= static_cast<int>(repeats);
   }
   void SendPrompt(const BackendName& engine) override {
     if (!open_prompt.empty()) ++overlapping_calls;
@@ -64,6 +65,10 @@
   }
   void OnReplacement(ReplacementStep step, absl::string_view reason) override {
     replacement_steps.push_back(step);
+    replacement_engines.push_back(lifecycle->phase() ==
+                                          StreamLifecycle::Phase::kPrompt
+                                      ? lifecycle->prompt_engine().value()
+                                      : lifecycle->decode_engine().value());
     last_reason = reason;
   }
   void OnResumed() override { ++resumed; }
@@ -91,6 +96,8 @@
   const StreamLifecycle* lifecycle = nullptr;
   std::vector<std::string> silent;
   std::vector<ReplacementStep> replacement_steps;
+  // Silent engines at these steps, by the lifecycle's account.
+  std::vector<std::string> replacement_engines;
   absl::string_view last_reason;
   absl::Duration timer_delay = absl::InfiniteDuration();
 };
--- a/unittests/dispatch/stream_replacement_test.cc
+++ b/unittests/dispatch/stream_replacement_test.cc
@@ -289,6 +289,50 @@
   }
 }
 
+// Leaves the stream with a silent prompt call whose replacement is queued.
+std::string SilencePrompt(Stream& it, bool has_other_prefill) {
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  std::string first = it.port.prompts.at(0);
+  for (const char* engine : {"p0", "p1", "p2"}) {
+    if (!has_other_prefill && engine != first) {
+      it.table.Remove(BackendName(engine));
+    }
+  }
+  it.Wait(it.port.timer_delay);
+  return first;
+}
+
+TEST_CASE(
+    "a refused replacement of a silent prompt is reported as its engine's",
+    "[dispatch]") {
+  for (bool has_other_prefill : {true, false}) {
+    Stream it;
+    std::string first = SilencePrompt(it, has_other_prefill);
+    Quarantine(it);
+    it.Schedule();
+    REQUIRE(it.port.replacement_steps ==
+            std::vector<ReplacementStep>{ReplacementStep::kSought,
+                                         ReplacementStep::kRefused});
+    CHECK(it.port.replacement_engines ==
+          std::vector<std::string>{first, first});
+    CHECK(it.port.cancelled.empty());
+    it.CheckAllReleased();
+  }
+}
+
+TEST_CASE("a silent prompt is replaced without a retry where none is needed",
+          "[dispatch]") {
+  Stream it;
+  it.port.repeats_left = -1;
+  std::string first = SilencePrompt(it, /*has_other_prefill=*/false);
+  it.Schedule();
+  CHECK(it.port.cancelled_prompts == std::vector<std::string>{first});
+  CHECK(it.port.decodes.size() == 1);
+  CHECK(it.port.repeats_left == -1);
+  it.CheckAllReleased();
+}
+
 TEST_CASE("a resumed stream waits for a retry as long as its client waits",
           "[dispatch]") {
   Stream it(/*resumable=*/true);
