Relays: a request that has ended has no calls and no timers

What callers saw: a sound engine counts as silent and is avoided, after each pause of a front in which an engine's answer ended a stream. Where a replacement was being prepared, its prompt's answer could still start a run (BUDGET); this was found by reading and has no test.

Cause: a relay lives on until the loop's turn ends. Since late timers fire after the waiting input, in the same turn, the timer of a stream fires after the answer that ended it: it reports the engine as failing and seeks another one for a stream that is over.

Why it works: each end of a request cancels its calls and timers at once.

--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -72,7 +72,7 @@
   void ResendOrFail(BudgetUse budget_use, const ErrorResponse& error);
   void Deliver(const Attempt& attempt);
   Attempt RemoveAttempt(uint32_t number);
-  void CancelAll();
+  void CancelCalls() override;
   // Ends the request while attempts may be open.
   void EndAsOpen(absl::string_view reason);
   // Whether the route and the limits on attempts permit another run.
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -74,6 +74,8 @@
  protected:
   // Called at the client's deadline or the route's timeout.
   virtual void OnTimeout() = 0;
+  // Cancels the open calls and the timers.
+  virtual void CancelCalls() = 0;
 
   absl::Time Now() const { return context_.loop.Now(); }
   absl::Duration Elapsed() const { return Now() - admitted_.arrived; }
@@ -92,7 +94,8 @@
   void MarkOutput() { until_output_ = Elapsed(); }
   // Sends the client an error response and finishes the request.
   void RespondWithError(const ErrorResponse& error);
-  // Logs and counts the outcome, then calls `finished`. Later calls do nothing.
+  // Cancels the open calls, logs and counts the outcome, then calls `finished`.
+  // Later calls do nothing.
   void Finish(absl::string_view outcome, int status, absl::string_view reason);
   void Log(absl::string_view event, absl::string_view backend,
            absl::string_view detail);
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -88,7 +88,7 @@
   // Ends the stream wherever it stands.
   void EndAsOpen(absl::string_view reason);
   void Cancel(EngineCall& call);
-  void CancelCalls();
+  void CancelCalls() override;
   // Closes the client's connection so that the response can't appear complete.
   void AbortStream(absl::string_view reason);
 
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -36,7 +36,7 @@
     : Relay(context, std::move(admitted), std::move(finished)),
       hedge_timer_(context.loop, [this] { OnHedgeDelay(); }) {}
 
-PlainRelay::~PlainRelay() { CancelAll(); }
+PlainRelay::~PlainRelay() { PlainRelay::CancelCalls(); }
 
 void PlainRelay::Start() {
   BackendState* backend = NextBackend();
@@ -299,7 +299,7 @@
 }
 
 void PlainRelay::Deliver(const Attempt& attempt) {
-  CancelAll();
+  CancelCalls();
   HttpResponse response;
   response.status = attempt.head.status;
   response.fields = context().protocol.ForwardedFields(attempt.head);
@@ -309,7 +309,7 @@
          attempt.backend.value());
 }
 
-void PlainRelay::CancelAll() {
+void PlainRelay::CancelCalls() {
   hedge_timer_.Cancel();
   std::vector<uint32_t> numbers;
   for (const auto& it : attempts_) numbers.push_back(it.first);
@@ -324,7 +324,7 @@
   for (const auto& it : attempts_) {
     ReportLostRun(it.second, "client_gone", /*is_closed=*/false);
   }
-  CancelAll();
+  CancelCalls();
   Finish("client_gone", 0, "");
 }
 
@@ -344,7 +344,7 @@
     all_unsent = all_unsent && context().client.IsUnsent(it.second.call);
     ReportLostRun(it.second, reason, /*is_closed=*/false);
   }
-  CancelAll();
+  CancelCalls();
   RespondWithError({ran && !all_unsent ? 504 : 503, reason});
 }
 
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -106,6 +106,8 @@
   if (is_finished_) return;
   is_finished_ = true;
   timeout_.Cancel();
+  // Until the relay is destroyed, answers and timers that wait may come.
+  CancelCalls();
   context_.stats.CountOutcome(admitted_.route.name, absl::StrCat(outcome));
   context_.stats.answer_time[admitted_.route.name].Add(Elapsed());
   // A stream that the client resumed is only the rest of one.
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -61,7 +61,7 @@
       timer_(context.loop, [this] { lifecycle_.OnTimer(Now()); }) {}
 
 StreamRelay::~StreamRelay() {
-  CancelCalls();
+  StreamRelay::CancelCalls();
   lifecycle_.Close();
 }
 
--- a/unittests/front/pause_test.cc
+++ b/unittests/front/pause_test.cc
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 
 #include "deployment.h"
+#include "scripted_peer.h"
 
 namespace chervilwick {
 namespace {
@@ -150,6 +152,41 @@
   CHECK(answer->body == StreamEvents(1, 8));
 }
 
+TEST_CASE("engine whose answer ended a stream while the front stood is sound",
+          "[front][pause]") {
+  PausableFront front;
+  ScriptedPeer engine([](const HttpHead& request, const std::string&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return ScriptedPeer::Reply(
+        EncodeResponse({422,
+                        {{"X-Request-Id", request.Get("X-Request-Id")},
+                         {"X-Response-Stamp", "e"}},
+                        "no"},
+                       /*keep_alive=*/true));
+  });
+  nlohmann::json entry = {
+      {"service", "llm"},  {"addr", engine.endpoint().ToString()},
+      {"zone", "a"},       {"version", "v1"},
+      {"slots", 16},       {"state", "ready"},
+      {"stage", "decode"}, {"cold_left_ms", 0},
+      {"seq", 1},          {"born", 1}};
+  for (const char* id : {"d1", "d2"}) {
+    front.setup.store.Remove(std::string("servers/") + id);
+  }
+  front.setup.store.Put("servers/d9", entry.dump());
+  front.Run(absl::Milliseconds(500));
+  auto answer = front.setup.SendRequest("POST", "/report/x", "", 4000);
+  absl::Time end = front.setup.loop.Now() + absl::Seconds(2);
+  while (engine.Requests().empty() && front.setup.loop.Now() < end) {
+    front.Run(absl::Milliseconds(1));
+  }
+  front.Pause(absl::Milliseconds(1600));
+  front.Run(absl::Milliseconds(200));
+  CHECK(answer->status == 422);
+  CHECK(front.CountOf("decode_silent") == 0);
+  CHECK(engine.Requests().size() == 1);
+}
+
 TEST_CASE("prompt whose answer came while the front stood is not lost",
           "[front][pause]") {
   PausableFront front;
