Streams: an unsent first prompt call makes no later run free

What callers saw: BUDGET, by one for such a stream; found by reading.

Cause: a first prompt call does not count against the retry budget. Where it was that of a replacement, was not yet sent and was withdrawn, since the silent engine went on, a send was subtracted that had never been counted: the next run took no retry.

Why it works: only counted calls are subtracted, as where a silent prompt call is replaced.

--- a/lib/dispatch/stream_replacement.cc
+++ b/lib/dispatch/stream_replacement.cc
@@ -258,7 +258,7 @@
     services_.scheduler.Withdraw(terms_.id);
   } else if (port_.CancelPrompt(sign)) {
     ReportLost(*next_, StreamStage::kPrompt, /*is_closed=*/false, now);
-  } else {
+  } else if (prompt_sends_ > 1) {
     UncountSend();
   }
   Release(next_);
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -51,7 +51,7 @@
     cancelled.push_back(open_prompt);
     cancelled_prompts.push_back(lifecycle->prompt_engine().value());
     open_prompt.clear();
-    return true;
+    return prompt_was_sent;
   }
   bool CancelDecode(absl::string_view /*sign*/) override {
     cancelled.push_back(open_decode);
@@ -89,7 +89,8 @@
   // Engines of the open calls, for tests that clear them when a call ends.
   std::string open_prompt;
   std::string open_decode;
-  int overlapping_calls = 0;  // of one stage
+  int overlapping_calls = 0;    // of one stage
+  bool prompt_was_sent = true;  // when it is cancelled
   std::vector<std::string> cancelled;
   // Engines of cancelled prompt calls, by the lifecycle's account.
   std::vector<std::string> cancelled_prompts;
--- a/unittests/dispatch/stream_replacement_test.cc
+++ b/unittests/dispatch/stream_replacement_test.cc
@@ -333,6 +333,29 @@
   it.CheckAllReleased();
 }
 
+TEST_CASE("a first prompt call that was not sent makes no later run free",
+          "[dispatch]") {
+  Stream it(/*resumable=*/true);
+  const std::vector<std::string> prefills = {"p0", "p1", "p2"};
+  for (const std::string& name : prefills) it.table.Remove(BackendName(name));
+  it.lifecycle.Start(it.now);
+  it.Schedule();
+  REQUIRE(it.port.decodes.size() == 1);
+  it.lifecycle.OnStreaming(it.now);
+  it.lifecycle.OnProgress(it.now);
+  for (int n = 0; n < 3; ++n) it.Add("p", n, EngineStage::kPrefill);
+  it.Wait(kResumeTime);
+  it.Schedule();
+  REQUIRE(it.port.prompts.size() == 1);
+  it.port.prompt_was_sent = false;
+  it.lifecycle.OnProgress(it.now);
+  for (const std::string& name : prefills) it.table.Remove(BackendName(name));
+  it.Wait(2 * (kResumeTime + kStep));
+  it.Schedule();
+  CHECK(it.port.decodes.size() == 2);
+  CHECK(it.port.repeats_left == 99);
+}
+
 TEST_CASE("a resumed stream waits for a retry as long as its client waits",
           "[dispatch]") {
   Stream it(/*resumable=*/true);
