Front: the end of a stop has a timer of its own

What callers saw: a stop may outlast a short limit, and the process is killed.

Cause: the end of a stop was looked at with the periodic tasks, every 100 ms; a limit of 1 s leaves 62 ms between the latest exit and the limit.

Why it works: a timer is armed for the end of open requests and then for the latest exit.

--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -85,6 +85,9 @@
   void ReloadSettings();
   void ApplyLimits();
   void CheckShutdown();
+  // Checks the shutdown at the next time of its plan, which may lie between two
+  // runs of the periodic tasks.
+  void ArmShutdownTimer();
   // Refuses a request that the front, which is shutting down, has no time for.
   // Returns whether it was refused.
   bool RefuseIfTooLate(const AdmittedRequest& admitted);
@@ -119,6 +122,7 @@
   absl::Time last_periodic_ = absl::InfiniteFuture();
   size_t cut_requests_ = 0;               // open at the shutdown limit
   std::optional<ShutdownPlan> shutdown_;  // set while shutting down
+  Timer shutdown_timer_;
 };
 
 }  // namespace chervilwick
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -134,7 +134,11 @@
                 return services;
               }),
       crash_records_(context_),
-      scheduler_wake_(loop_, [this] { RunScheduler(); }) {
+      scheduler_wake_(loop_, [this] { RunScheduler(); }),
+      shutdown_timer_(loop_, [this] {
+        CheckShutdown();
+        ArmShutdownTimer();
+      }) {
   context_.server = &clients_;
   context_.suspects.SetCrashHandler([this](Fingerprint fingerprint,
                                            const BackendName& backend,
--- a/lib/front/front_shutdown.cc
+++ b/lib/front/front_shutdown.cc
@@ -21,6 +21,13 @@
   clients_.CloseAfterAnswers();
   context_.log.Write(now, "stopping",
                      {{"in_flight", static_cast<uint64_t>(relays_.size())}});
+  ArmShutdownTimer();
+}
+
+void FrontDaemon::ArmShutdownTimer() {
+  absl::Time now = loop_.Now();
+  absl::Time end = shutdown_->end_requests_at();
+  shutdown_timer_.Arm((now < end ? end : shutdown_->exit_at()) - now);
 }
 
 bool FrontDaemon::RefuseIfTooLate(const AdmittedRequest& admitted) {
