Tests: four places that the linter asks to change

Found by the first whole lint of the merged tests: two names of local constants, a parameter by reference, a product of ints compared with a larger type. No check changes.

--- a/unittests/dispatch/stream_replacement_test.cc
+++ b/unittests/dispatch/stream_replacement_test.cc
@@ -209,12 +209,12 @@
           "[dispatch]") {
   Stream it(/*resumable=*/true);
   StartStreaming(it);
-  constexpr absl::Duration kGap = absl::Milliseconds(1350);
+  constexpr absl::Duration gap = absl::Milliseconds(1350);
   for (int n = 0; n < 3; ++n) {
-    it.Wait(kGap);
+    it.Wait(gap);
     it.lifecycle.OnProgress(it.now);
   }
-  it.Wait(2 * kGap - kMoment);
+  it.Wait(2 * gap - kMoment);
   CHECK(it.port.replacement_steps.empty());
   it.Wait(kMoment);
   CHECK(it.port.replacement_steps.size() == 1);
--- a/unittests/front/event_splitter_test.cc
+++ b/unittests/front/event_splitter_test.cc
@@ -77,7 +77,8 @@
 }
 
 // Cuts the text at the given places, each taken modulo what is left.
-std::vector<std::string> Pieces(std::string text, std::vector<size_t> cuts) {
+std::vector<std::string> Pieces(std::string text,
+                                const std::vector<size_t>& cuts) {
   std::vector<std::string> out;
   for (size_t it : cuts) {
     size_t n = it % (text.size() + 1);
--- a/unittests/front/plain_calls_test.cc
+++ b/unittests/front/plain_calls_test.cc
@@ -139,9 +139,10 @@
   }
   int extra = 0;
   for (const auto& engine : it.engines) extra += engine.second->extra_answers();
-  // Two plain calls, and a prompt and a decode call of each of two streams.
-  CHECK(extra == 4 * 6);
-  CHECK(it.front->context().stats.mismatched_answers == 4 * 6);
+  // Four times two plain calls, and a prompt and a decode call of two streams.
+  constexpr int expected = 24;
+  CHECK(extra == expected);
+  CHECK(it.front->context().stats.mismatched_answers == expected);
 }
 
 TEST_CASE("slow idempotent call is hedged at another server", "[front]") {
--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -75,10 +75,10 @@
 
 std::string With(Json json, const std::string& pointer,
                  const std::string& value) {
-  constexpr char kMark[] = "REPLACED";
-  json[Json::json_pointer(pointer)] = kMark;
+  constexpr char mark[] = "REPLACED";
+  json[Json::json_pointer(pointer)] = mark;
   std::string text = json.dump();
-  std::string quoted = absl::StrCat("\"", kMark, "\"");
+  std::string quoted = absl::StrCat("\"", mark, "\"");
   return text.replace(text.find(quoted), quoted.size(), value);
 }
 
