Front: answers that end with their connection are logged and counted

Nothing told an answer without a length or chunks from any other: the log of a stream that ended as whole is the same for both. The new line answer_without_length names request, server and status, and the counter front_unframed_answers_total says how often such answers come. Together with the loss of a run (run_lost) or its absence, this tells an orderly end that was taken for the end of the answer from a reset that was not seen. No decision changes.

--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -102,6 +102,9 @@
   // Logs and counts an error at a backend server.
   void LogBackendError(absl::string_view event, absl::string_view backend,
                        absl::string_view detail);
+  // Logs and counts an answer that ends with its connection: its bytes do not
+  // show whether it is whole.
+  void LogAnswerHead(absl::string_view backend, const HttpHead& head);
   // Logs and counts a run whose complete response was not received. `sign` says
   // how the loss was detected. The fingerprint lets the logs of all fronts be
   // searched for a request that crashes servers.
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -125,6 +125,9 @@
         stats.resumed_streams);
   count("front_foreign_answers_total", "Answers to another request, dropped.",
         stats.mismatched_answers);
+  count("front_unframed_answers_total",
+        "Answers without a length that end with their connection.",
+        stats.unframed_answers);
   count("front_quarantined_total", "Requests refused as crash suspects.",
         stats.quarantined);
   count("front_store_items_malformed_total", "Store items that name nothing.",
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -141,7 +141,10 @@
   if (it == attempts_.end()) return;
   Attempt& attempt = it->second;
   std::visit(Overloaded{
-                 [&](HttpHead& head) { attempt.head = std::move(head); },
+                 [&](HttpHead& head) {
+                   LogAnswerHead(attempt.backend.value(), head);
+                   attempt.head = std::move(head);
+                 },
                  [&](HttpBodyPart& part) {
                    absl::StrAppend(&attempt.body, part.bytes);
                  },
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -145,6 +145,12 @@
   Log(event, backend, detail);
 }
 
+void Relay::LogAnswerHead(absl::string_view backend, const HttpHead& head) {
+  if (!head.ends_with_connection) return;
+  ++context_.stats.unframed_answers;
+  Log("answer_without_length", backend, absl::StrCat("status ", head.status));
+}
+
 void Relay::LogLostRun(absl::string_view backend, absl::string_view sign) {
   ++context_.stats.lost_runs[absl::StrCat(sign)];
   context_.log.Write(Now(), "run_lost",
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -166,6 +166,7 @@
 void StreamRelay::OnPromptEvent(CallEvent event) {
   std::visit(Overloaded{
                  [&](HttpHead& head) {
+                   LogAnswerHead(lifecycle_.prompt_engine().value(), head);
                    prompt_call_.head = std::move(head);
                    context().RecordAnswer(
                        lifecycle_.prompt_engine(),
@@ -252,6 +253,7 @@
   const BackendName& engine = lifecycle_.decode_engine();
   ResponseMetadata facts = context().protocol.ParseResponse(head);
   context().RecordAnswer(engine, facts);
+  LogAnswerHead(engine.value(), head);
   decode_call_.head = std::move(head);
   int status = decode_call_.head.status;
   if (!IsSuccess(status) || !facts.has_server_stamp) return;
