HTTP client: an answer without a length ends once its server is known to run

Cause: an answer that has neither a length nor chunks ends with its connection, and HttpClient reported each orderly close as that end. The kernel closes the connections of a process that ends in an orderly way, too, unless unread bytes wait in them.

Change: the end of such an answer is held for 20 ms, then the client connects to the same server. If the connection is accepted the answer has ended; if it is refused, or no attempt of three gets an answer, the call fails as unconfirmed_end, which counts as a closed connection for the suspicion of crashes. It also fails if a reset came after the close, or if another call to the server lost its connection within 100 ms of the end: a front that stood still may find its server restarted. Every reader of an answer gets this at one place: streams, prompts, plain calls, store, peers' copies, orders. Cancelling, timeouts and replacements work on the open call as before.

Cost for a sound answer: its end, not its bytes, comes 20 ms and one round trip later. The connection is kept for the next call, which would have made one anyway.

Ruled out: waiting for other bytes of the server (150 ms and more, and nothing comes from an idle one); its entry in the store (seconds). What remains: a server that breaks off an answer between events and runs on, or that is up again within 20 ms, can't be told from a sound end.

--- a/include/chervilwick/net/http_client.h
+++ b/include/chervilwick/net/http_client.h
@@ -1,4 +1,8 @@
 // Event-driven HTTP/1.1 client with a pool of kept connections.
+//
+// An answer that has neither a length nor chunks ends with its connection. Its
+// end is reported once the server has accepted another connection, which a
+// process that has just ended does not.
 
 #ifndef CHERVILWICK_NET_HTTP_CLIENT_H_
 #define CHERVILWICK_NET_HTTP_CLIENT_H_
@@ -31,8 +35,15 @@
   kClosed,     // the connection ended before the end of the answer
   kMalformed,  // bytes that are no answer, or more than one may have
   kTimeout,    // no whole answer within the call's time
+  // An answer without a length ended with its connection, and its server could
+  // not be reached right after: the kernel closes the connections of a process
+  // that ends in an orderly way, too.
+  kUnconfirmed,
 };
 
+// Whether the server closed the connection, as one that ends does.
+bool IsClosedByServer(CallError error);
+
 // One connection of a client; never used again in a process.
 using ConnectionId = StrongType<struct ConnectionIdTag, uint64_t>;
 
@@ -97,11 +108,19 @@
 
  private:
   class Connection;
+  enum class ProbeResult { kConnected, kRefused, kTimeout };
 
   Connection* TakeKept(const Endpoint& server, const CallOptions& options);
   Connection* Connect(const Endpoint& server, absl::Duration timeout);
   void Keep(Connection* connection);
   void Remove(Connection* connection);
+  // Connects to a server for the call whose answer ended with its connection.
+  // The new connection is kept for later calls.
+  void Probe(const Endpoint& server, absl::Duration timeout, CallId call);
+  void OnProbed(CallId call, ProbeResult result);
+  void RecordBroken(const Endpoint& server);
+  // Whether a call to the server has lost its connection since then.
+  bool HasBrokenSince(const Endpoint& server, absl::Time since) const;
 
   EventLoop& loop_;
   absl::Duration silence_;
@@ -110,6 +129,7 @@
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<Endpoint, std::vector<Connection*>> kept_;
   std::map<CallId, Connection*> calls_;
+  std::map<Endpoint, absl::Time> broken_;  // last lost call, by server
 };
 
 }  // namespace chervilwick
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -180,7 +180,7 @@
   }
   context().backends.ReportFailure(attempt.backend, Now());
   ReportLostRun(attempt, CallErrorText(failure.error),
-                failure.error == CallError::kClosed);
+                IsClosedByServer(failure.error));
   LogBackendError("broke_off", attempt.backend.value(),
                   failure.error == CallError::kMalformed
                       ? "malformed response"
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -182,7 +182,7 @@
                          lifecycle_.prompt_engine().value(),
                          absl::StrCat("prompt_", CallErrorText(failure.error)));
                    }
-                   bool is_closed = failure.error == CallError::kClosed;
+                   bool is_closed = IsClosedByServer(failure.error);
                    OnPromptFailed("connection failed",
                                   !failure.sent ? PromptFailure::kUnreachable
                                   : is_closed   ? PromptFailure::kClosed
@@ -362,7 +362,7 @@
   if (failure.sent) LogLostRun(engine, CallErrorText(failure.error));
   LogBackendError("decode_broke_off", engine,
                   failure.sent ? "response incomplete" : "request not sent");
-  bool is_closed = failure.error == CallError::kClosed;
+  bool is_closed = IsClosedByServer(failure.error);
   lifecycle_.OnDecodeFailed(!failure.sent ? DecodeFailure::kUnreachable
                             : is_closed   ? DecodeFailure::kClosed
                                           : DecodeFailure::kBroken,
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -30,6 +30,14 @@
 // that never ends.
 constexpr uint32_t kMaxSkippedAnswers = 8;
 constexpr size_t kMaxSkippedBytes = size_t{1} << 20;
+// How long after the end of an answer without a length its server is asked for
+// a connection: a process that ends closes its sockets one after the other.
+constexpr absl::Duration kProbeDelay = absl::Milliseconds(20);
+// A lost packet costs one attempt.
+constexpr int kMaxProbes = 3;
+// The connections that one end of a server closes are noticed within that time.
+constexpr absl::Duration kSameEndTime = absl::Milliseconds(100);
+constexpr absl::Duration kBrokenRetention = absl::Seconds(1);
 // Kept connections to one server.
 constexpr size_t kMaxKeptPerServer = 32;
 
@@ -51,6 +59,10 @@
 
 }  // namespace
 
+bool IsClosedByServer(CallError error) {
+  return error == CallError::kClosed || error == CallError::kUnconfirmed;
+}
+
 absl::string_view CallErrorText(CallError error) {
   switch (error) {
     case CallError::kConnect:
@@ -61,6 +73,8 @@
       return "malformed";
     case CallError::kTimeout:
       return "timeout";
+    case CallError::kUnconfirmed:
+      return "unconfirmed_end";
   }
   return "unknown";
 }
@@ -74,7 +88,10 @@
         server_(server),
         reader_(HttpReader::Role::kResponse, kMaxAnswerHeadBytes,
                 [this](HttpReadEvent event) { OnEvent(std::move(event)); }),
-        timer_(client.loop_, [this] { OnTimeout(); }) {
+        timer_(client.loop_, [this] { OnTimeout(); }),
+        probe_timer_(client.loop_, [this] {
+          client_.Probe(server_, connect_timeout_, call_);
+        }) {
     buffers_ =
         bufferevent_socket_new(client.loop_.base(), -1,
                                BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -100,6 +117,7 @@
     handler_ = std::move(handler);
     accepts_ = options.accepts;
     body_limit_ = options.max_body_bytes;
+    connect_timeout_ = options.connect_timeout;
     body_bytes_ = 0;
     due_ = client_.loop_.Now() + options.timeout;
     reader_.Reset(request.head.method == "HEAD");
@@ -109,6 +127,21 @@
     if (connected_) ArmCallTimer();
   }
 
+  // Reports to that call whether the server accepts this connection.
+  void ProbeFor(CallId call) { probed_call_ = call; }
+
+  void OnProbed(ProbeResult result) {
+    bool is_alive = result == ProbeResult::kConnected && !HasSocketError() &&
+                    !client_.HasBrokenSince(server_, ended_ - kSameEndTime);
+    if (is_alive) {
+      FinishMessage();
+    } else if (result == ProbeResult::kTimeout && ++probes_ < kMaxProbes) {
+      client_.Probe(server_, connect_timeout_, call_);
+    } else {
+      Fail(CallError::kUnconfirmed);
+    }
+  }
+
   ConnectionId id() const { return id_; }
   CallId call() const { return call_; }
   const Endpoint& server() const { return server_; }
@@ -140,7 +173,23 @@
   void OnConnected() {
     if (connected_) return;
     connected_ = true;
-    ArmCallTimer();
+    if (probed_call_.value() == 0) {
+      ArmCallTimer();
+      return;
+    }
+    BecomeIdle();
+    EndProbe(ProbeResult::kConnected);
+  }
+
+  void EndProbe(ProbeResult result) {
+    CallId call = std::exchange(probed_call_, CallId());
+    if (call.value() != 0) client_.OnProbed(call, result);
+  }
+
+  void BecomeIdle() {
+    idle_since_ = client_.loop_.Now();
+    client_.Keep(this);
+    timer_.Arm(std::min(kKeepTime, keep_alive_));
   }
 
   // The kernel connects before the event callback reports it.
@@ -151,6 +200,15 @@
                        reinterpret_cast<sockaddr*>(&address), &length) == 0;
   }
 
+  // A reset may follow an orderly close.
+  bool HasSocketError() const {
+    int error = 0;
+    socklen_t length = sizeof(error);
+    int result = getsockopt(bufferevent_getfd(buffers_), SOL_SOCKET, SO_ERROR,
+                            &error, &length);
+    return result != 0 || error != 0;
+  }
+
   void ArmCallTimer() {
     timer_.Cancel();
     if (due_ == absl::InfiniteFuture()) return;
@@ -236,9 +294,7 @@
     if (closes_ || early || extra != 0) {
       client_.Remove(this);
     } else {
-      idle_since_ = client_.loop_.Now();
-      client_.Keep(this);
-      timer_.Arm(std::min(kKeepTime, keep_alive_));
+      BecomeIdle();
     }
     handler(HttpEnd{});
     return false;
@@ -253,6 +309,7 @@
   void OnClosed(bool orderly) {
     if (call_.value() == 0) {
       client_.Remove(this);
+      EndProbe(ProbeResult::kRefused);
       return;
     }
     CallId call = call_;
@@ -260,15 +317,20 @@
     if (removed_ || call_ != call) return;
     if (orderly && reader_.IsDone() && !skips_) {
       closes_ = true;
-      FinishMessage();
+      ended_ = client_.loop_.Now();
+      probe_timer_.Arm(kProbeDelay);
       return;
     }
+    if (connected_) client_.RecordBroken(server_);
     Fail(connected_ ? CallError::kClosed : CallError::kConnect);
   }
 
   void OnTimeout() {
-    if (call_.value() == 0) {
+    if (!connected_ && probed_call_.value() != 0 && HasPeer()) {
+      OnConnected();
+    } else if (call_.value() == 0) {
       client_.Remove(this);
+      EndProbe(ProbeResult::kTimeout);
     } else if (!connected_ && HasPeer()) {
       OnConnected();
     } else {
@@ -291,8 +353,10 @@
   Endpoint server_;
   HttpReader reader_;
   Timer timer_;
+  Timer probe_timer_;
   bufferevent* buffers_ = nullptr;
   CallId call_;
+  CallId probed_call_;  // that waits for this connection to be accepted
   CallHandler handler_;
   CallOptions::Accepts accepts_;
   size_t unsent_bytes_ = 0;
@@ -301,6 +365,9 @@
   size_t body_bytes_ = 0;  // of the message being read
   size_t body_limit_ = 0;
   absl::Time due_ = absl::InfiniteFuture();  // of the call
+  absl::Duration connect_timeout_;           // of the call
+  absl::Time ended_;  // when the connection, and so the answer, ended
+  int probes_ = 0;    // without a result
   bool connected_ = false;
   bool removed_ = false;
   bool skips_ = false;   // the message being read answers another request
@@ -374,10 +441,36 @@
   bufferevent_disable(connection->buffers_, EV_READ | EV_WRITE);
   bufferevent_setcb(connection->buffers_, nullptr, nullptr, nullptr, nullptr);
   connection->timer_.Cancel();
+  connection->probe_timer_.Cancel();
   loop_.DeferDelete(std::move(it->second));
   connections_.erase(it);
 }
 
+void HttpClient::Probe(const Endpoint& server, absl::Duration timeout,
+                       CallId call) {
+  Connect(server, timeout)->ProbeFor(call);
+}
+
+void HttpClient::OnProbed(CallId call, ProbeResult result) {
+  auto it = calls_.find(call);
+  if (it != calls_.end()) it->second->OnProbed(result);
+}
+
+void HttpClient::RecordBroken(const Endpoint& server) {
+  absl::Time now = loop_.Now();
+  for (auto it = broken_.begin(); it != broken_.end();) {
+    bool is_over = now - it->second > kBrokenRetention;
+    it = is_over ? broken_.erase(it) : std::next(it);
+  }
+  broken_[server] = now;
+}
+
+bool HttpClient::HasBrokenSince(const Endpoint& server,
+                                absl::Time since) const {
+  auto it = broken_.find(server);
+  return it != broken_.end() && it->second >= since;
+}
+
 void HttpClient::Cancel(CallId id) {
   auto it = calls_.find(id);
   if (it != calls_.end()) Remove(it->second);
