Streams: events are told by the route, and lines end with CR as well

Cause: what is a stream of events was decided by the engine's Content-Type alone, so that one without the field was passed on to its end whatever its bytes were. Comments never counted as unfinished. A stream without any event counted as whole. Lines that end with CR alone, which the format of events allows, were never found, so that no such stream was whole.

Change: EventSplitter reads line by line (LF, CR LF, CR). On a streaming route an answer without a type is one of events. Without a length, an answer that ends inside an event or a line, or without any event, is broken off. With a length or chunks its engine says where it ends: there only an event that has begun and a declared type count, as before.

--- a/include/chervilwick/front/event_splitter.h
+++ b/include/chervilwick/front/event_splitter.h
@@ -27,13 +27,18 @@
   std::string Append(absl::string_view bytes);
   // Returns and discards the bytes after the last complete event.
   std::string TakeRemainder();
-  // Whether the bytes after the last complete event are part of another.
+  // Whether the bytes after the last complete event are part of another. A
+  // comment, also an unfinished one, is not.
   bool HasPartialEvent() const;
+  // The bytes after the last line end; empty between lines.
+  absl::string_view UnfinishedLine() const;
   // Whether a resumed run sent an event again, left one out, or began with one
   // that has no id.
   bool IsOutOfOrder() const { return is_out_of_order_; }
   // Whether a resumed run has sent no event yet.
   bool IsResumedRunEmpty() const { return is_resumed_ && run_ids_ == 0; }
+  // Whether the run has sent an event with an id or data.
+  bool HasRunEvents() const { return run_events_ > 0; }
   // Whether the id of the last event tells a run where to go on.
   bool CanResume() const { return !has_data_without_id_; }
 
@@ -49,19 +54,28 @@
   struct Event {
     std::optional<uint64_t> id;
     bool has_data = false;
+    bool has_fields = false;  // lines that are no comments
+
+    void AddLine(absl::string_view line);
   };
   enum class Verdict { kForward, kDrop, kOutOfOrder };
 
-  static Event Parse(absl::string_view text);
-  std::string TakeEvents(absl::string_view events);
+  // Offset where the line at `line_start_` ends.
+  std::optional<size_t> FindLineEnd();
+  // Appends the event that has just ended to `out` if it may be forwarded.
+  void TakeEvent(absl::string_view text, std::string& out);
   Verdict Check(const Event& event) const;
   void Count(const Event& event);
 
-  std::string partial_;
+  std::string partial_;       // begins with the event that has not ended
+  size_t line_start_ = 0;     // of the line that has not ended, in `partial_`
+  Event event_;               // the lines before that one
+  bool has_lone_cr_ = false;  // lines of this run end with CR alone
   std::optional<uint64_t> last_id_;
   uint64_t events_ = 0;
-  uint64_t next_id_ = 1;  // if ids are consecutive
-  uint64_t run_ids_ = 0;  // events with an id in this run
+  uint64_t next_id_ = 1;     // if ids are consecutive
+  uint64_t run_ids_ = 0;     // events with an id in this run
+  uint64_t run_events_ = 0;  // events with an id or data in this run
   bool has_ids_ = false;
   bool has_gaps_ = false;  // ids are not consecutive
   bool has_data_without_id_ = false;
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -77,6 +77,9 @@
   void OnDecodeBytes(absl::string_view bytes);
   // Whether the head of a resumed run's answer is that of the same stream.
   bool ContinuesStream(const HttpHead& head) const;
+  // Why the bytes of an answer that has ended are not those of a whole stream;
+  // empty if they are.
+  absl::string_view FindBreak(const HttpHead& head) const;
   // Ends the call whose response is not one that may be forwarded.
   void OnInvalidAnswer(absl::string_view why);
   void OnDecodeEnd();
--- a/lib/front/event_splitter.cc
+++ b/lib/front/event_splitter.cc
@@ -1,14 +1,12 @@
 #include "chervilwick/front/event_splitter.h"
 
-#include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 namespace chervilwick {
 namespace {
@@ -16,82 +14,93 @@
 constexpr absl::string_view kIdField = "id:";
 constexpr absl::string_view kDataField = "data";
 constexpr absl::string_view kComment = ":";
-
-// Returns the offset after the last empty line, or 0 if there is none.
-size_t EndOfLastEvent(absl::string_view text) {
-  size_t lf = text.rfind("\n\n");
-  size_t crlf = text.rfind("\n\r\n");
-  size_t end = lf == absl::string_view::npos ? 0 : lf + 2;
-  if (crlf != absl::string_view::npos && crlf + 3 > end) end = crlf + 3;
-  return end;
-}
+// A line ends with LF, CR LF or CR alone.
+constexpr absl::string_view kLineEnds = "\r\n";
+constexpr absl::string_view kCrLf = "\r\n";
 
 }  // namespace
 
 void EventSplitter::BeginRun(std::optional<uint64_t> resumed_after) {
   partial_.clear();
+  line_start_ = 0;
+  event_ = Event();
+  has_lone_cr_ = false;
   run_ids_ = 0;
+  run_events_ = 0;
   is_out_of_order_ = false;
   is_resumed_ = resumed_after.has_value();
   next_id_ = resumed_after.value_or(0) + 1;
 }
 
+std::optional<size_t> EventSplitter::FindLineEnd() {
+  size_t end = partial_.find_first_of(kLineEnds.data(), line_start_);
+  if (end == std::string::npos) return std::nullopt;
+  bool is_cr = partial_[end] == '\r';
+  bool is_last = end + 1 == partial_.size();
+  // A CR may be the first half of a CR LF whose second half is on its way.
+  if (is_cr && is_last && !has_lone_cr_) return std::nullopt;
+  if (is_cr && !is_last && partial_[end + 1] != '\n') has_lone_cr_ = true;
+  return end;
+}
+
 std::string EventSplitter::Append(absl::string_view bytes) {
   partial_.append(bytes.data(), bytes.size());
-  size_t end = EndOfLastEvent(partial_);
-  if (end == 0 || is_out_of_order_) return "";
-  std::string complete = partial_.substr(0, end);
-  partial_.erase(0, end);
-  return TakeEvents(complete);
+  std::string out;
+  size_t event_start = 0;
+  while (!is_out_of_order_) {
+    std::optional<size_t> end = FindLineEnd();
+    if (!end) break;
+    absl::string_view line(partial_);
+    line = line.substr(line_start_, *end - line_start_);
+    bool is_crlf = partial_.compare(*end, kCrLf.size(), kCrLf.data()) == 0;
+    line_start_ = *end + (is_crlf ? kCrLf.size() : 1);
+    if (!line.empty()) {
+      event_.AddLine(line);
+      continue;
+    }
+    absl::string_view text(partial_);
+    TakeEvent(text.substr(event_start, line_start_ - event_start), out);
+    event_start = line_start_;
+  }
+  partial_.erase(0, event_start);
+  line_start_ -= event_start;
+  return out;
 }
 
 std::string EventSplitter::TakeRemainder() {
+  line_start_ = 0;
+  event_ = Event();
   return std::exchange(partial_, "");
 }
 
 bool EventSplitter::HasPartialEvent() const {
-  std::vector<absl::string_view> lines = absl::StrSplit(partial_, '\n');
-  return std::any_of(lines.begin(), lines.end(), [](absl::string_view it) {
-    return !it.empty() && it != "\r" && !absl::StartsWith(it, kComment);
-  });
+  absl::string_view line = UnfinishedLine();
+  return event_.has_fields ||
+         (!line.empty() && !absl::StartsWith(line, kComment));
 }
 
-std::string EventSplitter::TakeEvents(absl::string_view events) {
-  std::string out;
-  size_t start = 0;
-  size_t line_start = 0;
-  while (line_start < events.size()) {
-    size_t line_end = std::min(events.find('\n', line_start), events.size());
-    absl::string_view line = events.substr(line_start, line_end - line_start);
-    line_start = line_end + 1;
-    if (!line.empty() && line != "\r") continue;
-    absl::string_view text = events.substr(start, line_start - start);
-    start = line_start;
-    Event event = Parse(text);
-    Verdict verdict = Check(event);
-    if (verdict == Verdict::kOutOfOrder) {
-      is_out_of_order_ = true;
-      return out;
-    }
-    if (verdict == Verdict::kDrop) continue;
-    Count(event);
-    absl::StrAppend(&out, text);
-  }
-  return out;
+absl::string_view EventSplitter::UnfinishedLine() const {
+  absl::string_view line(partial_);
+  line.remove_prefix(line_start_);
+  absl::ConsumeSuffix(&line, "\r");
+  return line;
 }
 
-EventSplitter::Event EventSplitter::Parse(absl::string_view text) {
-  Event event;
-  for (absl::string_view line : absl::StrSplit(text, '\n')) {
-    event.has_data = event.has_data || absl::StartsWith(line, kDataField);
-    if (!absl::StartsWith(line, kIdField)) continue;
-    line.remove_prefix(kIdField.size());
-    uint64_t number = 0;
-    if (absl::SimpleAtoi(absl::StripAsciiWhitespace(line), &number)) {
-      event.id = number;
-    }
-  }
-  return event;
+void EventSplitter::TakeEvent(absl::string_view text, std::string& out) {
+  Event event = std::exchange(event_, Event());
+  Verdict verdict = Check(event);
+  if (verdict == Verdict::kOutOfOrder) is_out_of_order_ = true;
+  if (verdict != Verdict::kForward) return;
+  Count(event);
+  absl::StrAppend(&out, text);
+}
+
+void EventSplitter::Event::AddLine(absl::string_view line) {
+  has_fields = has_fields || !absl::StartsWith(line, kComment);
+  has_data = has_data || absl::StartsWith(line, kDataField);
+  if (!absl::ConsumePrefix(&line, kIdField)) return;
+  uint64_t number = 0;
+  if (absl::SimpleAtoi(absl::StripAsciiWhitespace(line), &number)) id = number;
 }
 
 EventSplitter::Verdict EventSplitter::Check(const Event& event) const {
@@ -109,6 +118,7 @@
   bool is_progress =
       event.id ? !last_id_ || *event.id > *last_id_ : event.has_data;
   if (is_progress) ++events_;
+  if (event.id || event.has_data) ++run_events_;
   if (!event.id) {
     has_data_without_id_ = has_data_without_id_ || event.has_data;
     return;
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -28,6 +28,12 @@
       absl::StripAsciiWhitespace(type.substr(0, type.find(';'))));
 }
 
+// The answers of streaming routes are events unless their head says otherwise.
+bool IsEventStream(const HttpHead& head) {
+  std::string type = MediaType(head);
+  return type.empty() || type == kEventStream;
+}
+
 StreamTerms MakeStreamTerms(const AdmittedRequest& admitted,
                             double stall_patience) {
   StreamTerms terms;
@@ -304,8 +310,18 @@
 
 bool StreamRelay::ContinuesStream(const HttpHead& head) const {
   return head.status == stream_head_.status &&
-         MediaType(head) == kEventStream &&
-         MediaType(stream_head_) == kEventStream;
+         MediaType(head) == MediaType(stream_head_) &&
+         IsEventStream(stream_head_);
+}
+
+absl::string_view StreamRelay::FindBreak(const HttpHead& head) const {
+  if (events_.IsResumedRunEmpty()) return "resumed run without an event";
+  bool is_declared = MediaType(stream_head_) == kEventStream;
+  if (is_declared && events_.HasPartialEvent()) return "ended inside an event";
+  if (!head.ends_with_connection || !IsEventStream(stream_head_)) return "";
+  if (events_.HasPartialEvent()) return "ended inside an event";
+  if (!events_.UnfinishedLine().empty()) return "ended inside a line";
+  return events_.HasRunEvents() ? "" : "ended without an event";
 }
 
 void StreamRelay::OnInvalidAnswer(absl::string_view why) {
@@ -343,11 +359,9 @@
     OnDecodeBroken({CallError::kMalformed, true});
     return;
   }
-  bool is_broken_off =
-      MediaType(stream_head_) == kEventStream && events_.HasPartialEvent();
-  if (is_broken_off || events_.IsResumedRunEmpty()) {
-    OnInvalidAnswer(is_broken_off ? "ended inside an event"
-                                  : "resumed run without an event");
+  absl::string_view fault = FindBreak(head);
+  if (!fault.empty()) {
+    OnInvalidAnswer(fault);
     return;
   }
   context().server->SendStream(admitted().id, events_.TakeRemainder());
--- a/unittests/front/event_splitter_test.cc
+++ b/unittests/front/event_splitter_test.cc
@@ -76,6 +76,46 @@
   }
 }
 
+TEST_CASE("lines end with LF, CR LF or CR, in whatever pieces they come",
+          "[splitter]") {
+  for (const char* line_end : {"\n", "\r\n", "\r"}) {
+    std::string events;
+    for (char c : Events(1, 3)) {
+      events += c == '\n' ? line_end : std::string(1, c);
+    }
+    for (size_t width : {1, 2, 3, 5, 100}) {
+      EventSplitter splitter;
+      std::string out;
+      for (size_t at = 0; at < events.size(); at += width) {
+        absl::StrAppend(&out, splitter.Append(events.substr(at, width)));
+      }
+      CHECK(out == events);
+      CHECK(splitter.events() == 3);
+      CHECK_FALSE(splitter.HasPartialEvent());
+      CHECK(splitter.UnfinishedLine().empty());
+    }
+  }
+}
+
+TEST_CASE("no event is forwarded before its end", "[splitter]") {
+  std::string event = "id: 1\r\ndata: e\r\n\r\n";
+  for (size_t cut = 0; cut < event.size(); ++cut) {
+    EventSplitter splitter;
+    CHECK(splitter.Append(event.substr(0, cut)).empty());
+    CHECK(splitter.HasPartialEvent() == (cut > 0));
+    CHECK(splitter.Append(event.substr(cut)) == event);
+  }
+}
+
+TEST_CASE("unfinished comment is told from one that has ended", "[splitter]") {
+  EventSplitter splitter;
+  splitter.Append(Events(1, 1) + ": ali");
+  CHECK(splitter.UnfinishedLine() == ": ali");
+  splitter.Append("ve\n");
+  CHECK(splitter.UnfinishedLine().empty());
+  CHECK_FALSE(splitter.HasPartialEvent());
+}
+
 // Cuts the text at the given places, each taken modulo what is left.
 std::vector<std::string> Pieces(std::string text,
                                 const std::vector<size_t>& cuts) {
