Engine client: a plain answer without a length needs a server that runs on

What callers saw on the older interface: a plain call whose backend server ended inside an answer without a length got what had come so far as the whole answer, with a length of the entry's own.

The call's library takes the orderly close of a crashed process for the end of the body.

Streams need their last [DONE] and prompts a whole JSON object, so that each of their cuts is seen, before and after; the wire between entries and agents carries lengths, and an entry ends a stream only with the agent's count of tokens.

Change: after an answer with neither a length nor chunks the agent asks the server for its health, as after a failed call; if it can't be reached the run counts as crashed.

--- a/lib/engine/engine_client.cc
+++ b/lib/engine/engine_client.cc
@@ -49,6 +49,8 @@
 constexpr int kProbeTimeoutSeconds = 1;
 constexpr int kOrderTimeoutSeconds = 120;
 constexpr int kHttpOk = 200;
+constexpr int kHttpNoContent = 204;
+constexpr int kHttpNotModified = 304;
 constexpr uint32_t kMsPerSecond = 1000;
 constexpr uint32_t kUsPerMs = 1000;
 // The agent cancels calls at their deadline. The read timeout is longer by this
@@ -86,6 +88,15 @@
       it->get<uint64_t>(), std::numeric_limits<uint32_t>::max()));
 }
 
+// Whether the body of the response to a request other than HEAD ends with its
+// connection, as it has neither a length nor chunks.
+bool EndsWithConnection(const httplib::Response& response) {
+  bool has_no_body =
+      response.status == kHttpNoContent || response.status == kHttpNotModified;
+  return !has_no_body && !response.has_header("Content-Length") &&
+         !response.has_header("Transfer-Encoding");
+}
+
 std::unique_ptr<httplib::Client> Connect(const std::string& address,
                                          uint32_t timeout_ms) {
   HostPort target = SplitAddress(address);
@@ -239,6 +250,13 @@
     finished.status = StatusForError(address, result.error(), canceller);
     return finished;
   }
+  // The kernel closes the connections of a process that has ended in an orderly
+  // way, too.
+  if (start.method != "HEAD" && EndsWithConnection(*result) &&
+      !AcceptsConnections(address)) {
+    finished.status = WorkStatus::kEngineCrashed;
+    return finished;
+  }
   finished.http_status = static_cast<uint32_t>(result->status);
   finished.content_type = result->get_header_value("Content-Type");
   finished.body = result->body;
