Tests: cut answers of the store and of prompts are not taken for whole ones

Store pages, watches, leases, revisions and prompt handles are JSON objects, which show their own end: each cut of each of them is refused.

--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -111,6 +111,36 @@
   CHECK_FALSE(protocol.ParseWatch(R"({"events":[{}],"current_rev":1})"));
 }
 
+// Guards against an answer without a length whose connection ends inside it.
+TEST_CASE("answer that is cut at any offset is not taken for a whole one",
+          "[platform]") {
+  PlatformProtocol protocol;
+  std::string item = R"({"key":"k","value":"","rev":3,"lease":0})";
+  std::string page = absl::StrCat(R"({"items":[)", item,
+                                  R"(],"has_more":false,"current_rev":5})");
+  std::string watch =
+      absl::StrCat(R"({"events":[)", item, R"(],"current_rev":5})");
+  std::string lease = R"({"ttl_ms":600000,"lease":77})";
+  std::string revision = R"({"rev":123})";
+  std::string handle = R"({"tokens":1460,"version":1,"handle":"3fa09c41b7d5"})";
+  CHECK(protocol.ParsePage(page));
+  CHECK(protocol.ParseWatch(watch));
+  CHECK(protocol.ParseLease(lease));
+  CHECK(protocol.ParseRevision(revision));
+  CHECK(protocol.ParseHandle(handle));
+  auto cuts = [](const std::string& whole, auto parse) {
+    for (size_t cut = 0; cut < whole.size(); ++cut) {
+      INFO(whole.substr(0, cut));
+      CHECK_FALSE(parse(whole.substr(0, cut)));
+    }
+  };
+  cuts(page, [&](const auto& it) { return protocol.ParsePage(it); });
+  cuts(watch, [&](const auto& it) { return protocol.ParseWatch(it); });
+  cuts(lease, [&](const auto& it) { return protocol.ParseLease(it); });
+  cuts(revision, [&](const auto& it) { return protocol.ParseRevision(it); });
+  cuts(handle, [&](const auto& it) { return protocol.ParseHandle(it); });
+}
+
 TEST_CASE("recorded broken runs are parsed back unchanged", "[platform]") {
   PlatformProtocol protocol;
   ServerEndId end{0xfedcba9876543210, 7};
