HTTP client: the connection that confirms an end has to stay open

A proxy in front of a server goes on when the server has ended: it accepts the connection that is to show that the server runs, and closes it. The new connection now has to stay open for 20 ms. net_test [unframed]: the new case fails with a hold time of 0 (2 of 25 assertions), all 26 pass with it.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -33,6 +33,9 @@
 // How long after the end of an answer without a length its server is asked for
 // a connection: a process that ends closes its sockets one after the other.
 constexpr absl::Duration kProbeDelay = absl::Milliseconds(20);
+// How long that connection has to stay open: a proxy in front of a server that
+// has ended accepts connections and closes them.
+constexpr absl::Duration kProbeHoldTime = absl::Milliseconds(20);
 // A lost packet costs one attempt.
 constexpr int kMaxProbes = 3;
 // The connections that one end of a server closes are noticed within that time.
@@ -177,8 +180,7 @@
       ArmCallTimer();
       return;
     }
-    BecomeIdle();
-    EndProbe(ProbeResult::kConnected);
+    timer_.Arm(kProbeHoldTime);
   }
 
   void EndProbe(ProbeResult result) {
@@ -326,11 +328,10 @@
   }
 
   void OnTimeout() {
-    if (!connected_ && probed_call_.value() != 0 && HasPeer()) {
-      OnConnected();
+    if (probed_call_.value() != 0) {
+      OnProbeTimeout();
     } else if (call_.value() == 0) {
       client_.Remove(this);
-      EndProbe(ProbeResult::kTimeout);
     } else if (!connected_ && HasPeer()) {
       OnConnected();
     } else {
@@ -338,6 +339,18 @@
     }
   }
 
+  void OnProbeTimeout() {
+    if (connected_) {
+      BecomeIdle();
+      EndProbe(ProbeResult::kConnected);
+    } else if (HasPeer()) {
+      OnConnected();
+    } else {
+      client_.Remove(this);
+      EndProbe(ProbeResult::kTimeout);
+    }
+  }
+
   void Fail(CallError error) {
     CallFailure failure{error, !IsUnsent()};
     CallHandler handler = std::move(handler_);
--- a/unittests/common/scripted_peer.cc
+++ b/unittests/common/scripted_peer.cc
@@ -57,10 +57,12 @@
   }
 }
 
-void ScriptedPeer::Crash(std::chrono::milliseconds down) {
+void ScriptedPeer::Crash(const Reply& reply) {
+  up_at_ = std::chrono::steady_clock::now() + reply.down;
+  closes_new_ = reply.closes_new;
+  if (closes_new_) return;
   close(listener_);
   listener_ = -1;
-  up_at_ = std::chrono::steady_clock::now() + down;
 }
 
 ScriptedPeer::~ScriptedPeer() {
@@ -78,6 +80,10 @@
 void ScriptedPeer::Accept() {
   int socket = accept(listener_, nullptr, nullptr);
   if (socket < 0) return;
+  if (closes_new_ && std::chrono::steady_clock::now() < up_at_) {
+    close(socket);
+    return;
+  }
   ++connections_;
   open_[socket] = std::make_unique<Connection>();
 }
@@ -107,7 +113,7 @@
       return false;
     }
     if (reply.crashes) {
-      Crash(reply.down);
+      Crash(reply);
       for (auto it = open_.begin(); it != open_.end();) {
         if (it->first != socket) close(it->first);
         it = it->first == socket ? std::next(it) : open_.erase(it);
--- a/unittests/common/scripted_peer.h
+++ b/unittests/common/scripted_peer.h
@@ -31,7 +31,9 @@
     // would close them, and new ones are refused until it runs again.
     bool crashes = false;
     std::chrono::milliseconds down{300};  // after a crash
-    std::string extra;                    // sent before the bytes
+    // Until then, new connections are accepted and closed instead.
+    bool closes_new = false;
+    std::string extra;  // sent before the bytes
   };
   // Called on the peer's thread. `previous` is the last answer (its bytes) on
   // the request's connection, empty for its first request.
@@ -50,7 +52,7 @@
   struct Connection;
 
   void Serve();
-  void Crash(std::chrono::milliseconds down);
+  void Crash(const Reply& reply);
   void Accept();
   // Returns whether the connection stays open.
   bool Read(int socket, Connection& connection);
@@ -59,6 +61,7 @@
   Endpoint endpoint_;
   int listener_;
   std::chrono::steady_clock::time_point up_at_;  // after a crash
+  bool closes_new_ = false;                      // until then
   std::atomic<bool> stopping_{false};
   std::atomic<int> connections_{0};
   mutable std::mutex mutex_;
--- a/unittests/net/unframed_test.cc
+++ b/unittests/net/unframed_test.cc
@@ -88,6 +88,22 @@
   CHECK(it.client.open_connections() == 0);
 }
 
+// A proxy on the server's host goes on when the server has ended.
+TEST_CASE("answer without a length fails if new connections are closed at once",
+          "[net][unframed]") {
+  Exchange it([](ScriptedPeer::Reply& reply) {
+    reply.crashes = true;
+    reply.closes_new = true;
+    reply.down = std::chrono::milliseconds(10000);
+  });
+  Seen seen;
+  it.Start(seen);
+  it.loop.RunFor(kSoon);
+  CHECK_FALSE(seen.ended);
+  REQUIRE(seen.failure.has_value());
+  CHECK(seen.failure->error == CallError::kUnconfirmed);
+}
+
 TEST_CASE("call that is cancelled while its end is in doubt hears no more",
           "[net][unframed]") {
   for (bool crashes : {false, true}) {
