Soak: engines whose answers have no length, and engines killed in series

Each third answer of the soak's engines now has neither a length nor chunks. The new profile crashes kills engines in series.

--- a/scripts/soak/peer.py
+++ b/scripts/soak/peer.py
@@ -14,6 +14,8 @@
 
 ENTRY_LIFETIME_S = 3.6
 BEAT_S = 1.0
+# One in so many answers of an engine has neither a length nor chunks.
+UNFRAMED_EVERY = 3
 
 
 async def serve(address, handler):
@@ -207,11 +209,15 @@
         self.stage, self.switching = stage, False
         await self.publish()
 
-    def reply(self, writer, headers, status, body=b"", **more):
+    def is_unframed(self):
+        """Whether the answer of the run that has just begun ends with its connection."""
+        return self.runs % UNFRAMED_EVERY == 0
+
+    def reply(self, writer, headers, status, body=b"", unframed=False, **more):
         fields = {"X-Request-Id": headers.get("x-request-id", ""),
                   "X-Server-Load": f"{self.running},0,{self.args.slots},100"}
         fields.update({it.replace("_", "-"): value for it, value in more.items()})
-        writer.write(wire.message(f"HTTP/1.1 {status} x", fields, body))
+        writer.write(wire.message(f"HTTP/1.1 {status} x", fields, body, unframed=unframed))
 
     async def handle(self, method, target, headers, body, reader, writer):
         if target == "/chervilwick/order":
@@ -272,7 +278,8 @@
                        last=headers.get("last-event-id"))
         how, status = "done", 200
         # Some answers end their connection, so that callers make new ones.
-        closes = not self.stage and self.runs % 2 == 1
+        unframed = self.is_unframed()
+        closes = unframed or (not self.stage and self.runs % 2 == 1)
         if not self.stage:
             seconds = float(query.get("time", 0.01))
             await asyncio.sleep(min(seconds, max(end - time.monotonic(), 0)))
@@ -280,21 +287,22 @@
             if time.monotonic() > end:
                 status, how = 504, "deadline"
             text = f"{request} {stamp} {sum(body) % 65521}"
-            self.reply(writer, headers, status, text.encode(), X_Response_Stamp=stamp,
+            self.reply(writer, headers, status, text.encode(), unframed, X_Response_Stamp=stamp,
                        Connection="close" if closes else "keep-alive")
         else:
-            how = await self.stream(request, stamp, query, headers, writer, end)
+            how = await self.stream(request, stamp, query, headers, writer, end, unframed)
         self.log.write("end", id=request, engine=self.args.id, how=how, status=status)
-        if how == "broke":
+        # An unframed answer that breaks off between events has to be reset.
+        if how == ("deadline" if unframed else "broke"):
             writer.transport.abort()
         return closes or how != "done"
 
-    async def stream(self, request, stamp, query, headers, writer, end):
+    async def stream(self, request, stamp, query, headers, writer, end, unframed):
         count, gap = int(query["events"]), float(query["gap"])
         breaks_at = count // 2 if query.get("fault") == "break" else 0
         writer.write(wire.message("HTTP/1.1 200 x", {
             "X-Request-Id": request, "X-Response-Stamp": stamp,
-            "Content-Type": "text/event-stream"}, chunked=True))
+            "Content-Type": "text/event-stream"}, chunked=not unframed, unframed=unframed))
         first = int(headers.get("last-event-id") or 0) + 1
         for number in range(first, count + 1):
             await asyncio.sleep(min(gap, 0.1) if number == first else gap)
@@ -303,11 +311,12 @@
             event = f"id: {number}\ndata: {request} {number} {stamp}\n\n".encode()
             if number == breaks_at and headers.get("last-event-id") is None:
                 event = event[:len(event) // 2]
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if len(event) and event[-1:] != b"\n":
                 return "broke"
-        writer.write(b"0\r\n\r\n")
+        if not unframed:
+            writer.write(b"0\r\n\r\n")
         return "done"
 
 
--- a/scripts/soak/plan.py
+++ b/scripts/soak/plan.py
@@ -2,7 +2,8 @@
 
 import random
 
-PROFILES = ("calm", "stops", "restarts", "stalls", "throttles", "busy", "mixed")
+PROFILES = ("calm", "stops", "restarts", "stalls", "throttles", "crashes", "busy",
+            "mixed")
 GAPS = ([0.06], [0.2], [1.0], [1.4], [0.06, 0.2, 1.0, 1.4])
 LENGTHS = ([2.4], [2.0, 5.0, 8.0], [8.0])
 MIXES = ([1, 1, 1, 1], [2, 2, 10, 1], [1, 1, 2, 8])
@@ -27,6 +28,8 @@
         actions += stalls(rng, fronts, last)
     if profile == "throttles":
         actions += throttles(rng, fronts, last)
+    if profile == "crashes":
+        actions += crashes(rng, engines, last)
     if profile == "mixed":
         actions = rng.sample(actions, len(actions) // 2)
         actions += others(rng, fronts, engines, last)
@@ -89,6 +92,16 @@
     return out
 
 
+def crashes(rng, engines, last):
+    """Engines are killed in series and are soon back."""
+    out, t = [], FIRST_S
+    while t < last:
+        out.append(action(t, "kill", f"engine-{rng.randrange(engines)}",
+                          down=round(rng.uniform(0.3, 1.5), 2)))
+        t += rng.choice((0.3, 0.6, 1.2))
+    return out
+
+
 def others(rng, fronts, engines, last):
     out = []
     for _ in range(rng.randint(2, 6) + (fronts + engines) // 8):
--- a/scripts/soak/wire.py
+++ b/scripts/soak/wire.py
@@ -76,11 +76,12 @@
     return b"".join([it async for it in body_parts(reader, headers, until_close)])
 
 
-def message(first, headers, body=b"", chunked=False):
+def message(first, headers, body=b"", chunked=False, unframed=False):
+    """An unframed message has neither a length nor chunks and ends with its connection."""
     lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
     if chunked:
         lines.append("Transfer-Encoding: chunked")
-    else:
+    elif not unframed:
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
