Front: a lost run names the shared parts of its request's prompt

The log could not tell which parts the requests had under which servers ended. The ids of all parts but the last are read from the request, and run_lost names their fingerprints. No decision uses them yet.

--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/crash_suspects.h"
@@ -25,6 +26,7 @@
 
 // Fingerprint in the form used in the log.
 std::string FingerprintText(Fingerprint fingerprint);
+std::string FingerprintText(const std::vector<Fingerprint>& fingerprints);
 
 // Owned by the daemon. Outlives every relay.
 struct FrontContext {
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -27,6 +27,8 @@
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
   std::optional<uint32_t> output_hint;  // client's estimate, in tokens
+  // Ids of the parts of the prompt that other requests may share, in order.
+  std::vector<std::string> shared_parts;
 };
 
 // Load that a backend server reports in a response.
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -27,6 +27,8 @@
   VersionNumber version;
   ServiceName service;
   Fingerprint fingerprint;
+  // Of the parts of the prompt that other requests may share, in order.
+  std::vector<Fingerprint> parts;
   absl::Time arrived;
 
   // Number of tokens that the response is estimated to have; 0 if unknown.
--- a/lib/front/front_context.cc
+++ b/lib/front/front_context.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace chervilwick {
 namespace {
@@ -21,6 +22,12 @@
   return absl::StrCat(absl::Hex(fingerprint.value(), absl::kZeroPad16));
 }
 
+std::string FingerprintText(const std::vector<Fingerprint>& fingerprints) {
+  return absl::StrJoin(fingerprints, ",", [](std::string* out, Fingerprint it) {
+    out->append(FingerprintText(it));
+  });
+}
+
 FrontContext::FrontContext(EventLoop& event_loop,
                            const ExternalProtocol& outside,
                            const FrontSettings& front_settings,
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -15,6 +15,8 @@
 // Retry-After while a starting front has no configuration yet: it usually
 // arrives within this time.
 constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
+// Keeps the fingerprints of parts apart from those of requests.
+constexpr uint64_t kPartSeed = 1;
 
 // Identifies repeats of a request by the same client account, which is known by
 // its address. For a request without a body, the method and the target identify
@@ -26,6 +28,15 @@
   return Fingerprint(StableHash(request.body, hash));
 }
 
+// Parts are the same whichever client account sends them.
+std::vector<Fingerprint> FingerprintsOf(const std::vector<std::string>& parts) {
+  std::vector<Fingerprint> fingerprints;
+  for (const std::string& it : parts) {
+    fingerprints.emplace_back(StableHash(it, kPartSeed));
+  }
+  return fingerprints;
+}
+
 }  // namespace
 
 void FrontDaemon::Reject(ExchangeId id, const RequestMetadata& facts,
@@ -75,6 +86,7 @@
   admitted.version = table_.version;
   admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
   admitted.fingerprint = FingerprintOf(request, client);
+  admitted.parts = FingerprintsOf(facts.shared_parts);
   absl::Duration quarantine =
       context_.suspects.QuarantineLeft(admitted.fingerprint, admitted.arrived);
   if (quarantine > absl::ZeroDuration()) {
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -156,6 +156,7 @@
   context_.log.Write(Now(), "run_lost",
                      {{"id", admitted_.facts.request_id},
                       {"fingerprint", FingerprintText(admitted_.fingerprint)},
+                      {"parts", FingerprintText(admitted_.parts)},
                       {"backend", backend},
                       {"sign", sign}});
 }
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -205,6 +205,27 @@
   CHECK(out.head.Get("Last-Event-Id") == "5");
 }
 
+TEST_CASE("all parts of a prompt but the last are shared", "[platform]") {
+  auto parts = [](const std::vector<std::string>& values) {
+    HttpHead head;
+    for (const std::string& it : values) {
+      head.fields.push_back({"x-prompt-prefix", it});
+    }
+    return PlatformProtocol().ParseRequest(head).shared_parts;
+  };
+  using Ids = std::vector<std::string>;
+  CHECK(parts({}).empty());
+  CHECK(parts({""}).empty());
+  CHECK(parts({"5c1e07a2:800"}).empty());
+  CHECK(parts({"5c1e07a2:800,91BD3f06:410,e4402b7d:250"}) ==
+        Ids{"5c1e07a2", "91bd3f06"});
+  CHECK(parts({"a:1, b:2", "c:3"}) == Ids{"a", "b"});
+  CHECK(parts({",,a,:9,b:x:y,c"}) == Ids{"a", "b"});
+  std::string many;
+  for (int it = 0; it < 5000; ++it) absl::StrAppend(&many, it, ":1,");
+  CHECK(parts({many}).size() == 64);
+}
+
 TEST_CASE("a response states misdirection, load and whether the request ran",
           "[platform]") {
   PlatformProtocol protocol;
