Fronts: parts of prompts that crash engines are found and refused

Cause: crashes are counted by request: method, target, client's address, body. No two of these requests share that, so that each count stays at one.

Change, one design for requests and parts: each crashed run in CrashSuspects keeps the shared parts of its prompt. FindBlamedParts judges the set: three separate moments, unlike requests, those that explain most crashes first. Parts that always came together are refused together only. Completed requests strike their parts out, everywhere. The verdict is computed from the evidence whenever that changes, so it withdraws itself. Callers get 503 and a Retry-After of what is left of the quarantine.

A trial with the order of parts as a tie-break is not kept: it blamed a sound part that followed the deadly one.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -1,23 +1,34 @@
-// Detection of requests that crash the backend servers that run them.
+// Detection of requests, and of parts of prompts, that crash the backend
+// servers that run them.
 
 #ifndef CHERVILWICK_DISPATCH_CRASH_SUSPECTS_H_
 #define CHERVILWICK_DISPATCH_CRASH_SUSPECTS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 #include "absl/functional/function_ref.h"
 #include "absl/time/time.h"
+#include "chervilwick/dispatch/crash_blame.h"
 #include "chervilwick/support/ids.h"
 
 namespace chervilwick {
 
+// What a crash may be blamed on: a request, known by its content, and the parts
+// of its prompt that other requests may share. Each has a fingerprint.
+struct RequestContent {
+  Fingerprint request;
+  std::vector<Fingerprint> parts;
+};
+
 // Identifies one end of a backend server, within one fingerprint. All copies of
 // the request that ran there have the same id, whichever fronts sent them.
 struct ServerEndId {
@@ -37,16 +48,28 @@
 // A run during which its server ended. Fronts repeat it to each other; it is
 // counted once per end of the server.
 struct CrashedRun {
-  Fingerprint fingerprint;
+  Fingerprint fingerprint;  // of the request
   ServerEndId end;
   absl::Duration age;
+  // Parts of the prompt, without those that are known to be sound.
+  std::vector<Fingerprint> parts = {};
+  // Read from the store, which does not keep the age.
+  bool is_recorded = false;
 };
 
-// A request of that fingerprint completed, so that earlier crashes under it had
-// other causes.
+// Evidence that earlier crashes had other causes than what the fingerprint
+// stands for.
 struct Exoneration {
+  enum class Kind : uint8_t {
+    kRequest,      // the request completed
+    kPart,         // a request with that part completed
+    kPartWritten,  // an answer on that part was written for some time: weaker
+  };
+  static constexpr Kind kLastKind = Kind::kPartWritten;
+
   Fingerprint fingerprint;
   absl::Duration age;
+  Kind kind = Kind::kRequest;
 };
 
 struct CrashUpdate {
@@ -65,6 +88,7 @@
   // The server closed the connection during the run, as a crashing one does.
   // Otherwise the run timed out or was abandoned.
   bool is_closed = false;
+  std::vector<Fingerprint> parts = {};
 };
 
 // Counts, for each request fingerprint, the servers that crashed while running
@@ -72,6 +96,15 @@
 // crash only. Each front therefore keeps the set of all crashes that it saw or
 // was told of; the size of the set is the count. Merging sets is idempotent and
 // independent of the order.
+//
+// Requests may also share a part of their prompt that crashes servers. Each
+// crashed run therefore keeps the parts of its request, and FindBlamedParts()
+// judges the same set of runs. A part that a later request with it was served
+// with is struck out, at all fronts. So the verdict follows the evidence: it is
+// withdrawn when a request with the part completes or when other parts explain
+// the crashes, and it ends after the same time as that of a request. After that
+// each front lets one request at a time try, and fronts begin at different
+// times.
 class CrashSuspects {
  public:
   // Crashes after which a request is quarantined.
@@ -83,6 +116,12 @@
   void SetCrashHandler(CrashHandler handler) {
     on_counted_ = std::move(handler);
   }
+  // Called when the parts that are blamed have changed.
+  using BlameHandler = std::function<void(const std::vector<BlamedParts>&)>;
+  void SetBlameHandler(BlameHandler handler) { on_blame_ = std::move(handler); }
+  // How much later than the end of the quarantine of parts this front tries a
+  // request with them.
+  void SetTrialDelay(absl::Duration delay) { trial_delay_ = delay; }
 
   // A closed connection counts as a crash unless the server sends anything soon
   // after, which shows that only the answer was lost. A silent run counts if
@@ -94,18 +133,32 @@
   void Settle(LastHeard last_heard, absl::Time now);
   // The server vanished without notice, was restarted or can't be reached.
   void ReportServerEnd(const BackendName& backend, absl::Time now);
-  // A run of that fingerprint completed.
-  void ReportCompleted(Fingerprint fingerprint, absl::Time now);
+  // A run of that request completed.
+  void ReportCompleted(const RequestContent& content, absl::Time now);
+  void ReportCompleted(Fingerprint request, absl::Time now) {
+    ReportCompleted(RequestContent{request, {}}, now);
+  }
+  // An answer on these parts has been written for kWrittenTime, so that they
+  // hardly crash each server that begins to write.
+  static constexpr absl::Duration kWrittenTime = absl::Seconds(1);
+  void ReportWritten(const std::vector<Fingerprint>& parts, absl::Time now);
+  // The request is sent to a server.
+  void ReportSent(const RequestContent& content, absl::Time now);
   // Merges the sets of another front. Returns a fingerprint for each crash that
   // was not known before.
   std::vector<Fingerprint> MergeUpdate(const CrashUpdate& news, absl::Time now);
 
   // Remaining quarantine; zero if the request may run. When it is over the
   // request may run again: another crash starts one of twice the length.
-  absl::Duration QuarantineLeft(Fingerprint fingerprint, absl::Time now) const;
-  bool IsQuarantined(Fingerprint fingerprint, absl::Time now) const {
-    return QuarantineLeft(fingerprint, now) > absl::ZeroDuration();
+  absl::Duration QuarantineLeft(Fingerprint request, absl::Time now) const;
+  // The longest of the request and of the parts of its prompt.
+  absl::Duration QuarantineLeft(const RequestContent& content,
+                                absl::Time now) const;
+  template <typename Content>
+  bool IsQuarantined(const Content& content, absl::Time now) const {
+    return QuarantineLeft(content, now) > absl::ZeroDuration();
   }
+  const std::vector<BlamedParts>& blamed() const { return blamed_; }
   // Number of crashes in the whole fleet, as far as this front knows.
   uint32_t CrashCount(Fingerprint fingerprint) const;
 
@@ -118,8 +171,8 @@
   // All that is known, for a newly discovered front. Limited likewise.
   CrashUpdate FullUpdate(absl::Time now) const;
 
-  // Crashes that this front counted, of fingerprints with several, that are not
-  // yet known to be recorded outside the fronts.
+  // Crashes that this front counted, of requests with several and of those with
+  // blamed parts, that are not yet known to be recorded outside the fronts.
   std::vector<CrashedRun> Unrecorded(absl::Time now) const;
   void MarkRecorded(const std::vector<CrashedRun>& runs);
 
@@ -127,14 +180,22 @@
   void Prune(absl::Time now);
 
  private:
+  struct Crash {
+    absl::Time at;
+    std::vector<Fingerprint> parts;
+    bool is_recorded = false;
+  };
   struct Entry {
-    std::map<ServerEndId, absl::Time> crashes;
+    std::map<ServerEndId, Crash> crashes;
     absl::Time exonerated = absl::InfinitePast();
+    // Until when the crashes are evidence against blamed parts.
+    absl::Time evidence_until = absl::InfinitePast();
 
     // Id for the end of the run's server at about that time; none if that end
     // is counted already.
     std::optional<ServerEndId> NewEnd(const LostRun& run,
                                       absl::Time ended) const;
+    absl::Time LastCrash() const;
     absl::Time LastChange() const;
     absl::Time QuarantineEnd() const;
     // When the entry no longer affects any decision.
@@ -145,6 +206,21 @@
   using Filter =
       absl::FunctionRef<bool(const CrashId&, const Entry&, absl::Time at)>;
 
+  // When requests with a part were served last.
+  struct ServedPart {
+    absl::Time completed = absl::InfinitePast();
+    absl::Time written = absl::InfinitePast();
+    // When other fronts were told.
+    absl::Time told = absl::InfinitePast();
+
+    absl::Time Last() const { return std::max(completed, written); }
+  };
+  // A request with parts whose quarantine is over.
+  struct Trial {
+    Fingerprint request;
+    absl::Time end;
+  };
+
   // A lost run whose server is not known yet to have ended.
   struct PendingRun {
     LostRun run;
@@ -153,6 +229,27 @@
 
   // Counts a crash: the run's server ended at that time, or shortly before.
   void CountCrash(const LostRun& run, absl::Time ended, absl::Time now);
+  void MergeExoneration(const Exoneration& it, absl::Time now);
+  // Returns whether the crash was not known before.
+  bool MergeCrash(const CrashedRun& run, absl::Time now);
+  // Requests with that part completed then: strikes it out of earlier crashes.
+  void StrikePart(Fingerprint part, absl::Time completed);
+  // Strikes parts that were served since the crash, and tells other fronts what
+  // is known in favour of the parts.
+  void StrikeServedParts(Crash& crash, absl::Time now);
+  ServedPart& FindOrCreateServed(Fingerprint part);
+  void TellServed(Fingerprint part, absl::Time now);
+  void UpdateBlamed();
+  absl::Time QuarantineEnd(const BlamedParts& blamed) const;
+  static bool HasParts(const RequestContent& content,
+                       const BlamedParts& blamed);
+  static CrashedRun Describe(const CrashId& id, const Crash& crash,
+                             absl::Time now);
+  // Adds what is known in favour of a part.
+  void AddServed(Fingerprint part, absl::Time now,
+                 std::vector<Exoneration>& out) const;
+  // The latest crashes under blamed parts.
+  std::set<CrashId> BlamedCrashes() const;
   Entry& FindOrCreateEntry(Fingerprint fingerprint, absl::Time now);
   // Drops expired entries and, if the table is still full, those with the
   // fewest crashes, oldest first.
@@ -164,8 +261,15 @@
   EntryMap entries_;
   std::multimap<Fingerprint, PendingRun> pending_runs_;
   std::map<BackendName, absl::Time> server_ends_;
+  std::map<Fingerprint, ServedPart> served_parts_;
+  std::vector<BlamedParts> blamed_;
+  std::map<std::set<Fingerprint>, Trial> trials_;
+  bool has_new_evidence_ = false;
+  absl::Duration trial_delay_;
+  BlameHandler on_blame_;
   std::vector<CrashId> unsent_crashes_;
   std::vector<Fingerprint> unsent_exonerations_;
+  std::vector<Fingerprint> unsent_served_;  // parts
   // Crashes that this front counted, and whether they are recorded.
   std::map<CrashId, bool> own_;
 };
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -21,7 +21,7 @@
 struct StreamTerms {
   ExchangeId id;
   ServiceName service;
-  Fingerprint fingerprint;
+  RequestContent content;
   absl::Time arrived;
   absl::Duration objective;        // from the arrival to the first event
   absl::Duration pause_objective;  // between events
@@ -288,6 +288,8 @@
   absl::Time silent_since_;  // last data of the open decode call, or its start
   absl::Duration longest_gap_ = absl::ZeroDuration();  // of this run's events
   bool is_run_streaming_ = false;
+  absl::Time run_written_since_;  // the response head of this run
+  bool is_run_written_ = false;   // for CrashSuspects::kWrittenTime
   bool silence_reported_ = false;
   // When another engine is to be sought, or a retry to be asked for.
   absl::Time ask_at_ = absl::InfiniteFuture();
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -73,6 +73,7 @@
   // Merges broken runs that other fronts saw, as reported by a peer or the
   // store.
   void MergeCrashNews(const CrashUpdate& news, const std::string& source);
+  void LogBlamed(const std::vector<BlamedParts>& blamed);
   void RunPeriodicTasks();
   // Logs that the process did not run for some time: it was stopped, or its
   // host had no processor time for it.
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -31,6 +31,7 @@
   std::vector<Fingerprint> parts;
   absl::Time arrived;
 
+  RequestContent Content() const { return {fingerprint, parts}; }
   // Number of tokens that the response is estimated to have; 0 if unknown.
   uint32_t OutputTokens() const {
     uint32_t limit = facts.max_output_tokens;
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -1,4 +1,5 @@
-// Detection of requests that crash the backend servers that run them.
+// Detection of requests, and of parts of prompts, that crash the backend
+// servers that run them.
 
 #include "chervilwick/dispatch/crash_suspects.h"
 
@@ -18,6 +19,11 @@
 // for other reasons. Doubles with each further crash.
 constexpr absl::Duration kFirstQuarantine = kRetention;
 constexpr absl::Duration kMaxQuarantine = absl::Minutes(30);
+// Of parts with which requests were served lately: crashes with one cause, such
+// as a failing rack, may have ended all runs since.
+constexpr absl::Duration kFirstTrustedQuarantine = absl::Seconds(10);
+// Longest time from a send to the crash that it causes.
+constexpr absl::Duration kTrialTime = absl::Seconds(10);
 // The longest quarantine plus the retention.
 constexpr absl::Duration kMaxAge = absl::Minutes(32);
 // Per fingerprint; enough to reach the longest quarantine.
@@ -47,6 +53,11 @@
 // together, and long ones are lost.
 constexpr size_t kMaxSentCrashes = 24;
 constexpr size_t kMaxSentExonerations = 8;
+constexpr size_t kMaxSentParts = 256;
+// Crashes of blamed parts in one datagram, enough for the verdict.
+constexpr size_t kMaxSentPerBlame = 6;
+// Least time between two messages in favour of one part.
+constexpr absl::Duration kTellInterval = absl::Milliseconds(400);
 
 uint64_t HashOfServer(const LostRun& run) {
   return StableHash(absl::StrCat(run.backend.value(), "/", run.born_unix_ms));
@@ -54,12 +65,16 @@
 
 }  // namespace
 
-absl::Time CrashSuspects::Entry::LastChange() const {
-  absl::Time last = exonerated;
-  for (const auto& it : crashes) last = std::max(last, it.second);
+absl::Time CrashSuspects::Entry::LastCrash() const {
+  absl::Time last = absl::InfinitePast();
+  for (const auto& it : crashes) last = std::max(last, it.second.at);
   return last;
 }
 
+absl::Time CrashSuspects::Entry::LastChange() const {
+  return std::max(LastCrash(), exonerated);
+}
+
 absl::Time CrashSuspects::Entry::QuarantineEnd() const {
   if (crashes.size() < kQuarantineCrashes) return absl::InfinitePast();
   absl::Duration length = kFirstQuarantine;
@@ -68,7 +83,7 @@
 }
 
 absl::Time CrashSuspects::Entry::Expiry() const {
-  return std::max(LastChange(), QuarantineEnd()) + kRetention;
+  return std::max({LastChange(), QuarantineEnd(), evidence_until}) + kRetention;
 }
 
 CrashSuspects::Entry& CrashSuspects::FindOrCreateEntry(Fingerprint fingerprint,
@@ -107,7 +122,7 @@
   absl::Time last = ended + kSameEndTime;
   for (const auto& it : crashes) {
     if (it.first.server != end.server) continue;
-    if (first < it.second && it.second < last) return std::nullopt;
+    if (first < it.second.at && it.second.at < last) return std::nullopt;
     end.number = std::max(end.number, it.first.number + 1);
   }
   return end;
@@ -121,11 +136,15 @@
   if (!end) return;
   if (entry.crashes.size() >= kMaxCrashes) {
     // The quarantine is at its longest; only the latest crash's time matters.
-    entry.crashes.erase(std::min_element(
-        entry.crashes.begin(), entry.crashes.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
+    entry.crashes.erase(std::min_element(entry.crashes.begin(),
+                                         entry.crashes.end(),
+                                         [](const auto& a, const auto& b) {
+                                           return a.second.at < b.second.at;
+                                         }));
   }
-  entry.crashes[*end] = ended;
+  Crash& crash = entry.crashes[*end];
+  crash = {ended, run.parts, false};
+  StrikeServedParts(crash, now);
   unsent_crashes_.emplace_back(run.fingerprint, *end);
   own_[{run.fingerprint, *end}] = false;
   if (on_counted_) on_counted_(run.fingerprint, run.backend, now);
@@ -135,6 +154,7 @@
   auto end = server_ends_.find(run.backend);
   if (end != server_ends_.end() && run.sent <= end->second) {
     CountCrash(run, end->second, now);
+    UpdateBlamed();
   } else if (pending_runs_.size() < kMaxEntries) {
     pending_runs_.emplace(run.fingerprint, PendingRun{run, now});
   }
@@ -155,6 +175,7 @@
     }
     it = pending_runs_.erase(it);
   }
+  UpdateBlamed();
 }
 
 void CrashSuspects::Settle(LastHeard last_heard, absl::Time now) {
@@ -168,49 +189,238 @@
     }
     it = is_due || is_over ? pending_runs_.erase(it) : std::next(it);
   }
+  UpdateBlamed();
 }
 
-void CrashSuspects::ReportCompleted(Fingerprint fingerprint, absl::Time now) {
-  pending_runs_.erase(fingerprint);
-  auto it = entries_.find(fingerprint);
-  if (it == entries_.end()) return;
-  it->second.crashes.clear();
-  it->second.exonerated = now;
-  unsent_exonerations_.push_back(fingerprint);
+void CrashSuspects::ReportCompleted(const RequestContent& content,
+                                    absl::Time now) {
+  pending_runs_.erase(content.request);
+  auto it = entries_.find(content.request);
+  if (it != entries_.end()) {
+    it->second.crashes.clear();
+    it->second.exonerated = now;
+    unsent_exonerations_.push_back(content.request);
+    has_new_evidence_ = true;
+  }
+  for (Fingerprint part : content.parts) {
+    FindOrCreateServed(part).completed = now;
+    StrikePart(part, now);
+  }
+  UpdateBlamed();
 }
 
-std::vector<Fingerprint> CrashSuspects::MergeUpdate(const CrashUpdate& news,
-                                                    absl::Time now) {
-  for (const Exoneration& it : news.exonerations) {
-    if (it.age > kMaxAge) continue;
-    absl::Time at = now - it.age;
-    Entry& entry = FindOrCreateEntry(it.fingerprint, now);
-    if (at <= entry.exonerated) continue;
-    entry.exonerated = at;
-    for (auto run = entry.crashes.begin(); run != entry.crashes.end();) {
-      run = run->second <= at ? entry.crashes.erase(run) : std::next(run);
+void CrashSuspects::ReportWritten(const std::vector<Fingerprint>& parts,
+                                  absl::Time now) {
+  for (Fingerprint it : parts) FindOrCreateServed(it).written = now;
+  // The verdict depends on it.
+  has_new_evidence_ = has_new_evidence_ || !blamed_.empty();
+  UpdateBlamed();
+}
+
+CrashSuspects::ServedPart& CrashSuspects::FindOrCreateServed(Fingerprint part) {
+  if (served_parts_.size() >= kMaxEntries && served_parts_.count(part) == 0) {
+    // Those that are served often are kept.
+    std::vector<absl::Time> times;
+    for (const auto& it : served_parts_) times.push_back(it.second.Last());
+    auto middle = times.begin() + kMaxEntries / kEvictedPart;
+    std::nth_element(times.begin(), middle, times.end());
+    for (auto it = served_parts_.begin(); it != served_parts_.end();) {
+      bool is_old = it->second.Last() <= *middle;
+      it = is_old ? served_parts_.erase(it) : std::next(it);
     }
   }
+  return served_parts_[part];
+}
+
+void CrashSuspects::StrikePart(Fingerprint part, absl::Time completed) {
+  for (auto& entry : entries_) {
+    for (auto& it : entry.second.crashes) {
+      Crash& crash = it.second;
+      // The time of a recorded crash is not known.
+      if (crash.at > completed && !crash.is_recorded) continue;
+      auto found = std::find(crash.parts.begin(), crash.parts.end(), part);
+      if (found == crash.parts.end()) continue;
+      crash.parts.erase(found);
+      has_new_evidence_ = true;
+      TellServed(part, completed);
+    }
+  }
+}
+
+void CrashSuspects::StrikeServedParts(Crash& crash, absl::Time now) {
+  std::vector<Fingerprint> kept;
+  for (Fingerprint part : crash.parts) {
+    auto served = served_parts_.find(part);
+    if (served != served_parts_.end()) {
+      TellServed(part, now);
+      bool is_sound = crash.at <= served->second.completed ||
+                      (crash.is_recorded &&
+                       served->second.completed > absl::InfinitePast());
+      if (is_sound) continue;
+    }
+    kept.push_back(part);
+  }
+  crash.parts = std::move(kept);
+  has_new_evidence_ = true;
+}
+
+void CrashSuspects::TellServed(Fingerprint part, absl::Time now) {
+  ServedPart& served = FindOrCreateServed(part);
+  if (now - served.told < kTellInterval) return;
+  served.told = now;
+  unsent_served_.push_back(part);
+}
+
+void CrashSuspects::MergeExoneration(const Exoneration& it, absl::Time now) {
+  if (it.age > kMaxAge) return;
+  absl::Time at = now - it.age;
+  if (it.kind != Exoneration::Kind::kRequest) {
+    ServedPart& served = FindOrCreateServed(it.fingerprint);
+    has_new_evidence_ = has_new_evidence_ || !blamed_.empty();
+    if (it.kind == Exoneration::Kind::kPartWritten) {
+      served.written = std::max(served.written, at);
+      return;
+    }
+    served.completed = std::max(served.completed, at);
+    // Another front tells it: not again from here.
+    served.told = std::max(served.told, now);
+    StrikePart(it.fingerprint, at);
+    return;
+  }
+  Entry& entry = FindOrCreateEntry(it.fingerprint, now);
+  if (at <= entry.exonerated) return;
+  entry.exonerated = at;
+  has_new_evidence_ = true;
+  for (auto run = entry.crashes.begin(); run != entry.crashes.end();) {
+    run = run->second.at <= at ? entry.crashes.erase(run) : std::next(run);
+  }
+}
+
+bool CrashSuspects::MergeCrash(const CrashedRun& run, absl::Time now) {
+  absl::Time at = now - run.age;
+  if (run.age > kMaxAge) return false;
+  Entry& entry = FindOrCreateEntry(run.fingerprint, now);
+  if (at <= entry.exonerated) return false;
+  auto known = entry.crashes.find(run.end);
+  if (known != entry.crashes.end()) {
+    // The other front may know that more of the parts are sound, and when it
+    // was if this one read it from the store.
+    Crash& crash = known->second;
+    for (auto it = crash.parts.begin(); it != crash.parts.end();) {
+      bool is_kept =
+          std::find(run.parts.begin(), run.parts.end(), *it) != run.parts.end();
+      has_new_evidence_ = has_new_evidence_ || !is_kept;
+      it = is_kept ? std::next(it) : crash.parts.erase(it);
+    }
+    if (crash.is_recorded && !run.is_recorded) {
+      crash.is_recorded = false;
+      crash.at = at;
+    }
+    return false;
+  }
+  if (entry.crashes.size() >= kMaxCrashes) return false;
+  Crash& crash = entry.crashes[run.end];
+  crash = {at, run.parts, run.is_recorded};
+  StrikeServedParts(crash, now);
+  return true;
+}
+
+std::vector<Fingerprint> CrashSuspects::MergeUpdate(const CrashUpdate& news,
+                                                    absl::Time now) {
+  for (const Exoneration& it : news.exonerations) MergeExoneration(it, now);
   std::vector<Fingerprint> updated;
   for (const CrashedRun& it : news.crashed_runs) {
-    absl::Time at = now - it.age;
-    if (it.age > kMaxAge) continue;
-    Entry& entry = FindOrCreateEntry(it.fingerprint, now);
-    if (at <= entry.exonerated) continue;
-    if (entry.crashes.size() >= kMaxCrashes) continue;
-    if (!entry.crashes.emplace(it.end, at).second) continue;
-    updated.push_back(it.fingerprint);
+    if (MergeCrash(it, now)) updated.push_back(it.fingerprint);
   }
+  UpdateBlamed();
   return updated;
 }
 
-absl::Duration CrashSuspects::QuarantineLeft(Fingerprint fingerprint,
+void CrashSuspects::UpdateBlamed() {
+  if (!has_new_evidence_) return;
+  has_new_evidence_ = false;
+  std::vector<SuspectRun> runs;
+  std::vector<Entry*> entries;
+  for (auto& it : entries_) {
+    for (const auto& crash : it.second.crashes) {
+      if (crash.second.parts.empty()) continue;
+      runs.push_back({crash.first.server, crash.second.at, it.first,
+                      crash.second.parts, crash.second.is_recorded});
+      entries.push_back(&it.second);
+    }
+  }
+  auto is_trusted = [this](Fingerprint part) {
+    auto it = served_parts_.find(part);
+    return it != served_parts_.end() &&
+           it->second.Last() > absl::InfinitePast();
+  };
+  std::vector<std::set<Fingerprint>> before;
+  for (const BlamedParts& it : blamed_) before.push_back(it.parts);
+  blamed_ = FindBlamedParts(runs, is_trusted);
+  std::vector<std::set<Fingerprint>> after;
+  for (const BlamedParts& it : blamed_) {
+    after.push_back(it.parts);
+    for (size_t run : it.runs) {
+      Entry& entry = *entries[run];
+      entry.evidence_until = std::max(entry.evidence_until, QuarantineEnd(it));
+    }
+  }
+  if (on_blame_ && before != after) on_blame_(blamed_);
+}
+
+absl::Time CrashSuspects::QuarantineEnd(const BlamedParts& blamed) const {
+  absl::Duration length =
+      blamed.is_trusted ? kFirstTrustedQuarantine : kFirstQuarantine;
+  for (uint32_t it = 0; it < blamed.later_crashes; ++it) {
+    if (length >= kMaxQuarantine) break;
+    length *= 2;
+  }
+  absl::Duration delay =
+      std::min(trial_delay_, std::min(length, kMaxQuarantine) / 2);
+  return blamed.last_crash + std::min(length, kMaxQuarantine) + delay;
+}
+
+bool CrashSuspects::HasParts(const RequestContent& content,
+                             const BlamedParts& blamed) {
+  return std::all_of(
+      blamed.parts.begin(), blamed.parts.end(), [&](Fingerprint it) {
+        return std::find(content.parts.begin(), content.parts.end(), it) !=
+               content.parts.end();
+      });
+}
+
+void CrashSuspects::ReportSent(const RequestContent& content, absl::Time now) {
+  for (const BlamedParts& it : blamed_) {
+    if (!HasParts(content, it)) continue;
+    Trial& trial = trials_[it.parts];
+    if (trial.request != content.request && now < trial.end) continue;
+    trial = {content.request, now + kTrialTime};
+  }
+}
+
+absl::Duration CrashSuspects::QuarantineLeft(const RequestContent& content,
                                              absl::Time now) const {
-  auto it = entries_.find(fingerprint);
+  absl::Duration left = QuarantineLeft(content.request, now);
+  for (const BlamedParts& it : blamed_) {
+    if (!HasParts(content, it)) continue;
+    absl::Time end = QuarantineEnd(it);
+    auto trial = trials_.find(it.parts);
+    if (now >= end && trial != trials_.end() &&
+        trial->second.request != content.request) {
+      end = trial->second.end;
+    }
+    left = std::max(left, end - now);
+  }
+  return std::max(left, absl::ZeroDuration());
+}
+
+absl::Duration CrashSuspects::QuarantineLeft(Fingerprint request,
+                                             absl::Time now) const {
+  auto it = entries_.find(request);
   absl::Time end =
       it == entries_.end() ? absl::InfinitePast() : it->second.QuarantineEnd();
   // A closed connection counts at this front while it is undecided.
-  auto [first, last] = pending_runs_.equal_range(fingerprint);
+  auto [first, last] = pending_runs_.equal_range(request);
   std::set<uint64_t> servers;
   absl::Time settled = absl::InfinitePast();
   for (auto pending = first; pending != last; ++pending) {
@@ -222,7 +432,7 @@
     // The decision may come up to one interval late.
     settled = std::max({settled, lost + kSettleTime, now + kSettleInterval});
   }
-  size_t crashes = CrashCount(fingerprint) + servers.size();
+  size_t crashes = CrashCount(request) + servers.size();
   if (crashes >= kQuarantineCrashes) end = std::max(end, settled);
   return std::max(absl::ZeroDuration(), end - now);
 }
@@ -233,6 +443,29 @@
   return static_cast<uint32_t>(it->second.crashes.size());
 }
 
+CrashedRun CrashSuspects::Describe(const CrashId& id, const Crash& crash,
+                                   absl::Time now) {
+  CrashedRun run;
+  run.fingerprint = id.first;
+  run.end = id.second;
+  run.age = now - crash.at;
+  run.parts = crash.parts;
+  return run;
+}
+
+void CrashSuspects::AddServed(Fingerprint part, absl::Time now,
+                              std::vector<Exoneration>& out) const {
+  auto it = served_parts_.find(part);
+  if (it == served_parts_.end()) return;
+  const ServedPart& served = it->second;
+  using Kind = Exoneration::Kind;
+  if (served.completed > absl::InfinitePast()) {
+    out.push_back({part, now - served.completed, Kind::kPart});
+  } else if (served.written > absl::InfinitePast()) {
+    out.push_back({part, now - served.written, Kind::kPartWritten});
+  }
+}
+
 CrashUpdate CrashSuspects::TakeUnsent(absl::Time now) {
   CrashUpdate news;
   for (const auto& it : unsent_crashes_) {
@@ -240,18 +473,43 @@
     if (entry == entries_.end()) continue;
     auto run = entry->second.crashes.find(it.second);
     if (run == entry->second.crashes.end()) continue;
-    news.crashed_runs.push_back({it.first, it.second, now - run->second});
+    news.crashed_runs.push_back(Describe(it, run->second, now));
   }
   for (Fingerprint it : unsent_exonerations_) {
     auto entry = entries_.find(it);
     if (entry == entries_.end()) continue;
     news.exonerations.push_back({it, now - entry->second.exonerated});
   }
+  for (Fingerprint it : unsent_served_) AddServed(it, now, news.exonerations);
   unsent_crashes_.clear();
   unsent_exonerations_.clear();
+  unsent_served_.clear();
   return news;
 }
 
+std::set<CrashSuspects::CrashId> CrashSuspects::BlamedCrashes() const {
+  std::map<std::set<Fingerprint>, std::vector<std::pair<absl::Time, CrashId>>>
+      by_blame;
+  for (const auto& it : entries_) {
+    for (const auto& crash : it.second.crashes) {
+      RequestContent content{it.first, crash.second.parts};
+      for (const BlamedParts& blamed : blamed_) {
+        if (!HasParts(content, blamed)) continue;
+        by_blame[blamed.parts].push_back(
+            {crash.second.at, {it.first, crash.first}});
+      }
+    }
+  }
+  std::set<CrashId> ids;
+  for (auto& it : by_blame) {
+    auto& crashes = it.second;
+    std::sort(crashes.rbegin(), crashes.rend());
+    if (crashes.size() > kMaxSentPerBlame) crashes.resize(kMaxSentPerBlame);
+    for (const auto& crash : crashes) ids.insert(crash.second);
+  }
+  return ids;
+}
+
 CrashUpdate CrashSuspects::Select(Filter is_selected,
                                   absl::Time exonerated_since,
                                   absl::Time now) const {
@@ -262,16 +520,33 @@
     return a->second.crashes.size() > b->second.crashes.size();
   });
   CrashUpdate news;
+  for (const auto& it : served_parts_) {
+    if (it.second.told < exonerated_since) continue;
+    if (news.exonerations.size() == kMaxSentExonerations) break;
+    AddServed(it.first, now, news.exonerations);
+  }
+  size_t exonerations = news.exonerations.size() + kMaxSentExonerations;
+  size_t parts = 0;
+  auto add = [&](const CrashId& id, const Crash& crash) {
+    parts += crash.parts.size();
+    bool is_full = news.crashed_runs.size() == kMaxSentCrashes ||
+                   (!news.crashed_runs.empty() && parts > kMaxSentParts);
+    if (!is_full) news.crashed_runs.push_back(Describe(id, crash, now));
+  };
+  std::set<CrashId> blamed = BlamedCrashes();
+  for (const CrashId& it : blamed) {
+    add(it, entries_.at(it.first).crashes.at(it.second));
+  }
   for (const EntryMap::value_type* it : order) {
     const Entry& entry = it->second;
     if (entry.exonerated >= exonerated_since &&
-        news.exonerations.size() < kMaxSentExonerations) {
+        news.exonerations.size() < exonerations) {
       news.exonerations.push_back({it->first, now - entry.exonerated});
     }
     for (const auto& run : entry.crashes) {
-      if (news.crashed_runs.size() == kMaxSentCrashes) break;
-      if (!is_selected({it->first, run.first}, entry, run.second)) continue;
-      news.crashed_runs.push_back({it->first, run.first, now - run.second});
+      CrashId id(it->first, run.first);
+      if (blamed.count(id) != 0) continue;
+      if (is_selected(id, entry, run.second.at)) add(id, run.second);
     }
   }
   return news;
@@ -297,9 +572,14 @@
     auto entry = entries_.find(it.first.first);
     if (it.second || entry == entries_.end()) continue;
     auto found = entry->second.crashes.find(it.first.second);
+    if (found == entry->second.crashes.end()) continue;
     bool is_repeated = entry->second.crashes.size() >= kRecordedCrashes;
-    if (!is_repeated || found == entry->second.crashes.end()) continue;
-    runs.push_back({it.first.first, it.first.second, now - found->second});
+    RequestContent content{it.first.first, found->second.parts};
+    bool is_blamed = std::any_of(
+        blamed_.begin(), blamed_.end(),
+        [&](const BlamedParts& blamed) { return HasParts(content, blamed); });
+    if (!is_repeated && !is_blamed) continue;
+    runs.push_back(Describe(it.first, found->second, now));
   }
   return runs;
 }
@@ -314,8 +594,16 @@
 void CrashSuspects::Prune(absl::Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     bool is_over = it->second.Expiry() < now;
+    has_new_evidence_ = has_new_evidence_ || is_over;
     it = is_over ? entries_.erase(it) : std::next(it);
   }
+  for (auto it = served_parts_.begin(); it != served_parts_.end();) {
+    bool is_over = it->second.Last() + kRetention < now;
+    it = is_over ? served_parts_.erase(it) : std::next(it);
+  }
+  for (auto it = trials_.begin(); it != trials_.end();) {
+    it = it->second.end < now ? trials_.erase(it) : std::next(it);
+  }
   for (auto it = own_.begin(); it != own_.end();) {
     bool is_over = entries_.count(it->first.first) == 0;
     it = is_over ? own_.erase(it) : std::next(it);
@@ -324,6 +612,7 @@
     bool is_over = now - it->second > kRetention;
     it = is_over ? server_ends_.erase(it) : std::next(it);
   }
+  UpdateBlamed();
 }
 
 }  // namespace chervilwick
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -158,12 +158,11 @@
 }
 
 bool StreamLifecycle::IsQuarantined(absl::Time now) const {
-  return services_.suspects.IsQuarantined(terms_.fingerprint, now);
+  return services_.suspects.IsQuarantined(terms_.content, now);
 }
 
 bool StreamLifecycle::RefuseIfQuarantined(absl::Time now) {
-  absl::Duration left =
-      services_.suspects.QuarantineLeft(terms_.fingerprint, now);
+  absl::Duration left = services_.suspects.QuarantineLeft(terms_.content, now);
   if (left == absl::ZeroDuration()) return false;
   Release(step_);
   DropHandle();
@@ -192,6 +191,7 @@
   step.engine_started_ms =
       prefill == nullptr ? 0 : prefill->record.born_unix_ms;
   ArmTimer(now);
+  services_.suspects.ReportSent(terms_.content, now);
   port_.SendPrompt(engine);
 }
 
@@ -302,7 +302,9 @@
       services_.backends.Find(engine)->record.born_unix_ms;
   longest_gap_ = absl::ZeroDuration();
   is_run_streaming_ = false;
+  is_run_written_ = false;
   OnAlive(now);
+  services_.suspects.ReportSent(terms_.content, now);
   port_.SendDecode(engine, HasFreshHandle(now));
 }
 
@@ -312,6 +314,7 @@
   handle_made_.reset();
   is_streaming_ = true;
   is_run_streaming_ = true;
+  run_written_since_ = now;
   OnAlive(now);
 }
 
@@ -320,13 +323,18 @@
     longest_gap_ = std::max(longest_gap_, now - silent_since_);
   }
   last_event_ = now;
+  if (!is_run_written_ &&
+      now - run_written_since_ >= CrashSuspects::kWrittenTime) {
+    is_run_written_ = true;
+    services_.suspects.ReportWritten(terms_.content.parts, now);
+  }
   services_.backends.ReportAlive(decode_engine(), now);
   OnAlive(now);
 }
 
 void StreamLifecycle::OnCompleted(absl::Time now) {
   DropReplacement("completed", now);
-  services_.suspects.ReportCompleted(terms_.fingerprint, now);
+  services_.suspects.ReportCompleted(terms_.content, now);
   services_.scheduler.ObserveStream(now - step_->started);
   services_.backends.ReportSuccess(decode_engine(), now);
 }
@@ -387,8 +395,8 @@
                                   ? *step.placement.prefill
                                   : step.placement.decode;
   services_.suspects.ReportLost(
-      {terms_.fingerprint, engine, step.engine_started_ms, step.started,
-       is_closed},
+      {terms_.content.request, engine, step.engine_started_ms, step.started,
+       is_closed, terms_.content.parts},
       now);
 }
 
--- a/lib/emulator/dispatch_front.cc
+++ b/lib/emulator/dispatch_front.cc
@@ -42,7 +42,7 @@
     StreamTerms terms;
     terms.id = id;
     terms.service = front.options_.service;
-    terms.fingerprint = Fingerprint(request.number);
+    terms.content.request = Fingerprint(request.number);
     terms.arrived = front.queue_.now();
     terms.objective = request.objective;
     terms.pause_objective = request.pause_objective;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -33,6 +33,10 @@
 // learn its result.
 constexpr double kMaxNoticeJitter = 1.6;
 
+// Fronts try a request with a part that was blamed for crashes at different
+// times within that span after its quarantine.
+constexpr absl::Duration kMaxTrialDelay = absl::Seconds(60);
+
 const char* NoticeChangeText(BackendNotice::Kind kind) {
   switch (kind) {
     case BackendNotice::Kind::kLeaving:
@@ -148,6 +152,10 @@
                         {"backend", backend.value()},
                         {"breaks", context_.suspects.CrashCount(fingerprint)}});
   });
+  context_.suspects.SetBlameHandler(
+      [this](const std::vector<BlamedParts>& blamed) { LogBlamed(blamed); });
+  context_.suspects.SetTrialDelay(absl::Uniform(random_, 0.0, 1.0) *
+                                  kMaxTrialDelay);
   context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
@@ -325,6 +333,17 @@
   }
 }
 
+void FrontDaemon::LogBlamed(const std::vector<BlamedParts>& blamed) {
+  if (blamed.empty()) context_.log.Write(loop_.Now(), "parts_cleared", {});
+  for (const BlamedParts& it : blamed) {
+    std::vector<Fingerprint> parts(it.parts.begin(), it.parts.end());
+    context_.log.Write(loop_.Now(), "parts_blamed",
+                       {{"parts", FingerprintText(parts)},
+                        {"breaks", it.crashes},
+                        {"trusted", it.is_trusted}});
+  }
+}
+
 void FrontDaemon::RecordStall(absl::Time now) {
   absl::Duration late = now - last_periodic_ - kPeriodicTaskInterval;
   last_periodic_ = now;
@@ -363,8 +382,8 @@
 void FrontDaemon::EndQuarantinedStreams(absl::Time now) {
   std::vector<StreamRelay*> quarantined;
   for (const auto& it : streams_) {
-    Fingerprint fingerprint = it.second->admitted().fingerprint;
-    if (context_.suspects.IsQuarantined(fingerprint, now)) {
+    const AdmittedRequest& admitted = it.second->admitted();
+    if (context_.suspects.IsQuarantined(admitted.Content(), now)) {
       quarantined.push_back(it.second);
     }
   }
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -88,7 +88,7 @@
   admitted.fingerprint = FingerprintOf(request, client);
   admitted.parts = FingerprintsOf(facts.shared_parts);
   absl::Duration quarantine =
-      context_.suspects.QuarantineLeft(admitted.fingerprint, admitted.arrived);
+      context_.suspects.QuarantineLeft(admitted.Content(), admitted.arrived);
   if (quarantine > absl::ZeroDuration()) {
     ++context_.stats.quarantined;
     Reject(id, facts, 503, "quarantined", quarantine);
--- a/lib/front/peer_messages.cc
+++ b/lib/front/peer_messages.cc
@@ -9,8 +9,8 @@
 namespace chervilwick {
 namespace {
 
-constexpr uint32_t kDigestMagic = 0x63776b35;
-constexpr uint32_t kUpdateMagic = 0x63776b36;
+constexpr uint32_t kDigestMagic = 0x63776b37;
+constexpr uint32_t kUpdateMagic = 0x63776b38;
 
 struct UseEntry {
   std::string backend;
@@ -29,20 +29,22 @@
   uint64_t server = 0;
   uint64_t number = 0;
   uint32_t age_ms = 0;
+  List<uint64_t> parts;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(fingerprint, server, number, age_ms);
+    archive(fingerprint, server, number, age_ms, parts);
   }
 };
 
 struct ExonerationEntry {
   uint64_t fingerprint = 0;
   uint32_t age_ms = 0;
+  uint8_t kind = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(fingerprint, age_ms);
+    archive(fingerprint, age_ms, kind);
   }
 };
 
@@ -125,26 +127,38 @@
 CrashEntries ToEntries(const CrashUpdate& news) {
   CrashEntries entries;
   for (const CrashedRun& it : news.crashed_runs) {
-    entries.broken.items.push_back({it.fingerprint.value(), it.end.server,
-                                    it.end.number, ToMilliseconds(it.age)});
+    BrokenRunEntry entry{it.fingerprint.value(),
+                         it.end.server,
+                         it.end.number,
+                         ToMilliseconds(it.age),
+                         {}};
+    for (Fingerprint part : it.parts) entry.parts.items.push_back(part.value());
+    entries.broken.items.push_back(std::move(entry));
   }
   for (const Exoneration& it : news.exonerations) {
-    entries.exonerations.items.push_back(
-        {it.fingerprint.value(), ToMilliseconds(it.age)});
+    entries.exonerations.items.push_back({it.fingerprint.value(),
+                                          ToMilliseconds(it.age),
+                                          static_cast<uint8_t>(it.kind)});
   }
   return entries;
 }
 
+// Skips unknown kinds, which a newer front may send.
 CrashUpdate FromEntries(const CrashEntries& entries) {
   CrashUpdate news;
   for (const BrokenRunEntry& it : entries.broken.items) {
-    news.crashed_runs.push_back({Fingerprint(it.fingerprint),
-                                 {it.server, it.number},
-                                 absl::Milliseconds(it.age_ms)});
+    CrashedRun run;
+    run.fingerprint = Fingerprint(it.fingerprint);
+    run.end = {it.server, it.number};
+    run.age = absl::Milliseconds(it.age_ms);
+    for (uint64_t part : it.parts.items) run.parts.emplace_back(part);
+    news.crashed_runs.push_back(std::move(run));
   }
   for (const ExonerationEntry& it : entries.exonerations.items) {
-    news.exonerations.push_back(
-        {Fingerprint(it.fingerprint), absl::Milliseconds(it.age_ms)});
+    if (it.kind > static_cast<uint8_t>(Exoneration::kLastKind)) continue;
+    news.exonerations.push_back({Fingerprint(it.fingerprint),
+                                 absl::Milliseconds(it.age_ms),
+                                 static_cast<Exoneration::Kind>(it.kind)});
   }
   return news;
 }
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -58,7 +58,7 @@
 
 bool PlainRelay::FailIfQuarantined() {
   absl::Duration left =
-      context().suspects.QuarantineLeft(admitted().fingerprint, Now());
+      context().suspects.QuarantineLeft(admitted().Content(), Now());
   if (left == absl::ZeroDuration()) return false;
   // The request ends with the run that is still open.
   if (!attempts_.empty()) return true;
@@ -111,6 +111,7 @@
   attempt.sent = Now();
   attempt.retry_taken = retry_taken;
   tried_backends_.insert(attempt.backend);
+  context().suspects.ReportSent(admitted().Content(), Now());
   backend->own += {1, 0, 0};
   attempt.call = CallEngine(
       backend->record.endpoint, forward, kMaxAnswerBytes,
@@ -191,9 +192,10 @@
 void PlainRelay::ReportLostRun(const Attempt& attempt, absl::string_view sign,
                                bool is_closed) {
   LogLostRun(attempt.backend.value(), sign);
-  context().suspects.ReportLost({admitted().fingerprint, attempt.backend,
-                                 attempt.born_unix_ms, attempt.sent, is_closed},
-                                Now());
+  context().suspects.ReportLost(
+      {admitted().fingerprint, attempt.backend, attempt.born_unix_ms,
+       attempt.sent, is_closed, admitted().parts},
+      Now());
 }
 
 void PlainRelay::ReportUnreachable(const BackendName& backend) {
@@ -260,7 +262,7 @@
     return;
   }
   if (IsSuccess(status)) {
-    context().suspects.ReportCompleted(admitted().fingerprint, Now());
+    context().suspects.ReportCompleted(admitted().Content(), Now());
   }
   if (status >= kMinFailureStatus && MayRunAgain()) {
     failure_answer_ = attempt;
@@ -288,7 +290,7 @@
 
 void PlainRelay::OnHedgeDelay() {
   if (!MayRunAgain() || attempts_.empty()) return;
-  if (context().suspects.IsQuarantined(admitted().fingerprint, Now())) return;
+  if (context().suspects.IsQuarantined(admitted().Content(), Now())) return;
   if (context().quota.RetriesLeft(admitted().service, Now()) < kHedgeReserve) {
     return;
   }
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -39,7 +39,7 @@
   StreamTerms terms;
   terms.id = admitted.id;
   terms.service = admitted.service;
-  terms.fingerprint = admitted.fingerprint;
+  terms.content = admitted.Content();
   terms.arrived = admitted.arrived;
   terms.objective = admitted.route.objective;
   terms.pause_objective = admitted.route.pause_objective;
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -295,7 +295,17 @@
 void PlatformEngine::CrashOnTarget(std::string target, CrashMode sign,
                                    absl::Duration down,
                                    std::function<void()> on_back) {
-  crash_target_ = std::move(target);
+  CrashOn(
+      [target = std::move(target)](const HttpRequest& request) {
+        return request.head.target == target;
+      },
+      sign, down, std::move(on_back));
+}
+
+void PlatformEngine::CrashOn(Condition condition, CrashMode sign,
+                             absl::Duration down,
+                             std::function<void()> on_back) {
+  crash_condition_ = std::move(condition);
   crash_mode_ = sign;
   crash_down_ = down;
   on_back_ = std::move(on_back);
@@ -343,8 +353,8 @@
   }
   Fault fault = ConsumeFault();
   sends_extra_ = fault == Fault::kMismatchedResponse;
-  bool crashes = fault == Fault::kNone && !crash_target_.empty() &&
-                 request.head.target == crash_target_;
+  bool crashes =
+      fault == Fault::kNone && crash_condition_ && crash_condition_(request);
   if (crashes) {
     Crash();
   } else if (fault == Fault::kRefuse) {
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -132,6 +132,11 @@
   std::string Entry(const std::string& state = "ready") const;
   std::string Key() const { return "servers/" + options_.id; }
   void SetFault(Fault fault, int count = 1000000);
+  // From now on, such a request crashes the engine when it starts to run. The
+  // engine restarts under the same id after `down`.
+  using Condition = std::function<bool(const HttpRequest&)>;
+  void CrashOn(Condition condition, CrashMode sign, absl::Duration down,
+               std::function<void()> on_back);
   // From now on, a request for `target` crashes the engine when it starts to
   // run. The engine restarts under the same id after `down`.
   void CrashOnTarget(std::string target, CrashMode sign, absl::Duration down,
@@ -181,7 +186,7 @@
 
   EventLoop& loop_;
   Options options_;
-  std::string crash_target_;
+  Condition crash_condition_;
   CrashMode crash_mode_ = CrashMode::kClosed;
   absl::Duration crash_down_;
   std::function<void()> on_back_;
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -17,6 +17,7 @@
 inline const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 inline const ServiceName kService("models");
 inline const Fingerprint kFingerprint(7);
+inline const Fingerprint kSharedPart(70);
 inline constexpr absl::Duration kStep = absl::Milliseconds(20);
 
 // Records the calls of the lifecycle.
@@ -122,7 +123,7 @@
     StreamTerms terms;
     terms.id = ExchangeId(1);
     terms.service = kService;
-    terms.fingerprint = kFingerprint;
+    terms.content = {kFingerprint, {kSharedPart}};
     terms.arrived = kStart;
     terms.objective = absl::Milliseconds(900);
     terms.pause_objective = absl::Milliseconds(300);
--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -121,6 +121,8 @@
                          {"X-Request-Id", absl::StrCat("id", ++last_id)},
                          {"X-Deadline-Ms", absl::StrCat(deadline_ms)},
                          {"X-Token-Count", "3200,900"}};
+  request.head.fields.insert(request.head.fields.end(), extra_fields.begin(),
+                             extra_fields.end());
   if (method == "POST") {
     request.body = body.empty() ? absl::StrCat("body ", last_id) : body;
   }
--- a/unittests/front/deployment.h
+++ b/unittests/front/deployment.h
@@ -73,6 +73,7 @@
   std::map<std::string, std::unique_ptr<PlatformEngine>> engines;
   std::unique_ptr<FrontDaemon> front;
   CallId last_call;
+  std::vector<HttpField> extra_fields;  // of each request
   int last_id = 0;  // request ids are "id1", "id2" and so on
   std::FILE* log = nullptr;
 };
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -144,8 +144,9 @@
 TEST_CASE("recorded broken runs are parsed back unchanged", "[platform]") {
   PlatformProtocol protocol;
   ServerEndId end{0xfedcba9876543210, 7};
-  HttpRequest request =
-      protocol.RecordBrokenRuns({{Fingerprint(~uint64_t{0}), end, {}}}, "5");
+  CrashedRun run{Fingerprint(~uint64_t{0}), end, {}};
+  run.parts = {Fingerprint(~uint64_t{0} - 1), Fingerprint(0)};
+  HttpRequest request = protocol.RecordBrokenRuns({run}, "5");
   Json body = Json::parse(request.body);
   REQUIRE(body["set_keys"].size() == 1);
   CHECK(body["expected"].empty());
@@ -158,6 +159,13 @@
   REQUIRE(std::holds_alternative<CrashedRun>(fact));
   CHECK(std::get<CrashedRun>(fact).fingerprint == Fingerprint(~uint64_t{0}));
   CHECK(std::get<CrashedRun>(fact).end == end);
+  CHECK(std::get<CrashedRun>(fact).parts == run.parts);
+  CHECK(std::get<CrashedRun>(fact).is_recorded);
+  // A record of an older front, and one of another writer.
+  item.value = R"({"fingerprint":1,"server":2,"number":0})";
+  CHECK(std::holds_alternative<CrashedRun>(protocol.ParseItem(item)));
+  item.value = R"({"fingerprint":1,"server":2,"number":0,"parts":[-1]})";
+  CHECK(std::holds_alternative<MalformedItem>(protocol.ParseItem(item)));
   item.value = "{}";
   CHECK(std::holds_alternative<MalformedItem>(protocol.ParseItem(item)));
   item.removed = true;
