--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -31,6 +31,7 @@
 // Parts are the same whichever client account sends them.
 std::vector<Fingerprint> FingerprintsOf(const std::vector<std::string>& parts) {
   std::vector<Fingerprint> fingerprints;
+  fingerprints.reserve(parts.size());
   for (const std::string& it : parts) {
     fingerprints.emplace_back(StableHash(it, kPartSeed));
   }
--- a/unittests/dispatch/crash_parts_test.cc
+++ b/unittests/dispatch/crash_parts_test.cc
@@ -118,7 +118,7 @@
     int64_t born = 1;
     absl::Time up_at = absl::InfinitePast();
   };
-  struct Run_ {
+  struct ActiveRun {
     size_t front = 0;
     int server = 0;
     int64_t born = 0;
@@ -295,7 +295,7 @@
   absl::Time now_ = kStart;
   std::vector<Front> fronts_;
   std::vector<Server> servers_;
-  std::list<Run_> runs_;
+  std::list<ActiveRun> runs_;
   uint64_t requests_ = 0;
   Outcome outcome_;
   std::vector<absl::Time> last_crash_;  // up to the fifth, by deadly part
