Crash suspects: fronts tell only what they know themselves in favour of parts

Found while reading the diff: a front that heard that a part is sound told it on for five seconds, each time it heard it, so that fronts would repeat it to each other for ever, eight a datagram, and judged all runs anew with each. A front now repeats only its own evidence, and judges anew only where a part becomes trusted. Records of older fronts, which have no parts, no longer strike parts out.

Test: fronts that exchange digests for 20 s go quiet (2 of 2 assertions fail without the change).

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -210,10 +210,12 @@
   struct ServedPart {
     absl::Time completed = absl::InfinitePast();
     absl::Time written = absl::InfinitePast();
-    // When other fronts were told.
+    // When this front told the others, and when one of them told this one.
     absl::Time told = absl::InfinitePast();
+    absl::Time heard = absl::InfinitePast();
 
     absl::Time Last() const { return std::max(completed, written); }
+    bool IsTrusted() const { return Last() > absl::InfinitePast(); }
   };
   // A request with parts whose quarantine is over.
   struct Trial {
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -211,9 +211,11 @@
 
 void CrashSuspects::ReportWritten(const std::vector<Fingerprint>& parts,
                                   absl::Time now) {
-  for (Fingerprint it : parts) FindOrCreateServed(it).written = now;
-  // The verdict depends on it.
-  has_new_evidence_ = has_new_evidence_ || !blamed_.empty();
+  for (Fingerprint it : parts) {
+    ServedPart& served = FindOrCreateServed(it);
+    has_new_evidence_ = has_new_evidence_ || !served.IsTrusted();
+    served.written = now;
+  }
   UpdateBlamed();
 }
 
@@ -266,7 +268,7 @@
 
 void CrashSuspects::TellServed(Fingerprint part, absl::Time now) {
   ServedPart& served = FindOrCreateServed(part);
-  if (now - served.told < kTellInterval) return;
+  if (now - std::max(served.told, served.heard) < kTellInterval) return;
   served.told = now;
   unsent_served_.push_back(part);
 }
@@ -276,14 +278,13 @@
   absl::Time at = now - it.age;
   if (it.kind != Exoneration::Kind::kRequest) {
     ServedPart& served = FindOrCreateServed(it.fingerprint);
-    has_new_evidence_ = has_new_evidence_ || !blamed_.empty();
+    has_new_evidence_ = has_new_evidence_ || !served.IsTrusted();
+    served.heard = now;
     if (it.kind == Exoneration::Kind::kPartWritten) {
       served.written = std::max(served.written, at);
       return;
     }
     served.completed = std::max(served.completed, at);
-    // Another front tells it: not again from here.
-    served.told = std::max(served.told, now);
     StrikePart(it.fingerprint, at);
     return;
   }
@@ -307,7 +308,9 @@
     // was if this one read it from the store.
     Crash& crash = known->second;
     for (auto it = crash.parts.begin(); it != crash.parts.end();) {
+      // Records keep all parts, those of older fronts none.
       bool is_kept =
+          run.is_recorded ||
           std::find(run.parts.begin(), run.parts.end(), *it) != run.parts.end();
       has_new_evidence_ = has_new_evidence_ || !is_kept;
       it = is_kept ? std::next(it) : crash.parts.erase(it);
@@ -351,8 +354,7 @@
   }
   auto is_trusted = [this](Fingerprint part) {
     auto it = served_parts_.find(part);
-    return it != served_parts_.end() &&
-           it->second.Last() > absl::InfinitePast();
+    return it != served_parts_.end() && it->second.IsTrusted();
   };
   std::vector<std::set<Fingerprint>> before;
   for (const BlamedParts& it : blamed_) before.push_back(it.parts);
--- a/unittests/dispatch/crash_blame_test.cc
+++ b/unittests/dispatch/crash_blame_test.cc
@@ -168,6 +168,21 @@
   CHECK_FALSE(there.IsRefused({kFirst, kOther}));
 }
 
+TEST_CASE("fronts do not repeat to each other for ever that a part is sound",
+          "[dispatch][blame]") {
+  Front here;
+  Front there;
+  for (int n = 0; n < 3; ++n) here.Crash({kFirst, kOther});
+  here.Complete({kFirst, kOther});
+  for (int n = 0; n < 20; ++n) {
+    here.now += absl::Seconds(1);
+    there.suspects.MergeUpdate(here.suspects.RecentUpdate(here.now), here.now);
+    here.suspects.MergeUpdate(there.suspects.RecentUpdate(here.now), here.now);
+  }
+  CHECK(here.suspects.RecentUpdate(here.now).exonerations.empty());
+  CHECK(there.suspects.RecentUpdate(here.now).exonerations.empty());
+}
+
 TEST_CASE("after its quarantine a part is tried with one request at a time",
           "[dispatch][blame]") {
   Front it;
