HTTP client: bytes on the connection that confirms an end confirm it

Found while reading the diff: a server that sends something on a new connection made the probe's connection go without a word, so that the call waited for its own timeout, which streams don't have. The bytes show that the server runs. net_test [unframed]: the new case fails without the change (1 of 32 assertions).

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -246,6 +246,7 @@
       if (call_.value() == 0) {
         // Bytes after a complete answer belong to no request.
         client_.Remove(this);
+        EndProbe(ProbeResult::kConnected);
         return;
       }
       const char* data =
--- a/unittests/common/scripted_peer.cc
+++ b/unittests/common/scripted_peer.cc
@@ -87,6 +87,7 @@
     return;
   }
   ++connections_;
+  send(socket, greeting_.data(), greeting_.size(), MSG_NOSIGNAL);
   open_[socket] = std::make_unique<Connection>();
 }
 
@@ -105,6 +106,7 @@
       requests_.push_back(connection.head);
     }
     Reply reply = script_(connection.head, connection.previous);
+    greeting_ = reply.greeting;
     std::string sent = reply.extra + reply.bytes;
     send(socket, sent.data(), sent.size(), MSG_NOSIGNAL);
     if (reply.resets) {
--- a/unittests/common/scripted_peer.h
+++ b/unittests/common/scripted_peer.h
@@ -34,7 +34,8 @@
     // Until then, new connections are accepted and closed instead.
     bool closes_new = false;
     std::chrono::milliseconds closes_new_after{0};
-    std::string extra;  // sent before the bytes
+    std::string greeting;  // sent on connections that are made later
+    std::string extra;     // sent before the bytes
   };
   // Called on the peer's thread. `previous` is the last answer (its bytes) on
   // the request's connection, empty for its first request.
@@ -64,6 +65,7 @@
   std::chrono::steady_clock::time_point up_at_;  // after a crash
   bool closes_new_ = false;                      // until then
   std::chrono::milliseconds closes_new_after_{0};
+  std::string greeting_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> connections_{0};
   mutable std::mutex mutex_;
--- a/unittests/net/unframed_test.cc
+++ b/unittests/net/unframed_test.cc
@@ -104,6 +104,18 @@
   CHECK(seen.failure->error == CallError::kUnconfirmed);
 }
 
+TEST_CASE("bytes on the connection that confirms an end do not hold it up",
+          "[net][unframed]") {
+  Exchange it([](ScriptedPeer::Reply& reply) {
+    reply.closes = true;
+    reply.greeting = "hello";
+  });
+  Seen seen;
+  it.Start(seen);
+  it.loop.RunFor(kSoon);
+  CHECK(seen.ended);
+}
+
 TEST_CASE("call that is cancelled while its end is in doubt hears no more",
           "[net][unframed]") {
   for (bool crashes : {false, true}) {
