Tests: a crashed server stays away for longer than a busy front takes to look

The scripted servers were back 60 and 100 ms after a crash. A front that is starved for that long, as under a sanitizer beside other tests, would find them running. They stay away for 500 and 300 ms now; what is checked stays the same.

--- a/unittests/engine/broken_off_test.cc
+++ b/unittests/engine/broken_off_test.cc
@@ -64,7 +64,7 @@
   }
 
  private:
-  static constexpr std::chrono::milliseconds kDownTime{100};
+  static constexpr std::chrono::milliseconds kDownTime{300};
 
   std::string whole_;
   size_t cut_ = 0;
--- a/unittests/front/broken_off_test.cc
+++ b/unittests/front/broken_off_test.cc
@@ -2,6 +2,7 @@
 // offset.
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -19,6 +20,9 @@
 // How the engine ends the connection after the bytes.
 enum class End { kOrderly, kReset, kCrash };
 
+// A busy front looks at the end late.
+constexpr std::chrono::milliseconds kDownTime(500);
+
 std::string Id(const HttpHead& request) { return request.Get("X-Request-Id"); }
 
 std::string WithLength(const std::string& id, const std::string& body) {
@@ -44,7 +48,7 @@
           reply.closes = end_ == End::kOrderly;
           reply.resets = end_ == End::kReset;
           reply.crashes = end_ == End::kCrash;
-          reply.down = std::chrono::milliseconds(60);
+          reply.down = kDownTime;
           return reply;
         }) {
     for (const char* id : {"d1", "d2", "s1", "s2"}) {
@@ -64,8 +68,10 @@
     cut_ = cut;
     end_ = end;
     Answer answer = it.Get("POST", target);
-    // The server runs again after a crash, and the front trusts it again.
-    it.loop.RunFor(absl::Milliseconds(end == End::kCrash ? 150 : 1));
+    // The server runs again after a crash.
+    it.loop.RunFor(end == End::kCrash
+                       ? absl::FromChrono(kDownTime) + absl::Milliseconds(100)
+                       : absl::Milliseconds(1));
     return answer;
   }
 
