Stop: the limit waits for an answer whose end is about to be known

Its end was held back until its engine was known to run, and the stop ended it at 7.0 s of 8. What is open at the limit is ended unless only its end is in doubt; that is known within half a second, before the front exits.

--- a/include/chervilwick/front/plain_relay.h
+++ b/include/chervilwick/front/plain_relay.h
@@ -24,6 +24,7 @@
 
   void Start() override;
   void OnClientGone() override;
+  bool IsEndPending() const override;
   void OnShutdownLimit() override;
 
  protected:
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -69,6 +69,9 @@
   void OnConfigChange();
   // Called when the front shuts down and can't wait for the response. Responds
   // with an error; a response that has begun is cut off.
+  // Whether the end of the answer is about to be known, so that the limit of a
+  // shutdown should wait for it.
+  virtual bool IsEndPending() const = 0;
   virtual void OnShutdownLimit() = 0;
   // Time that the request would take if it started now.
   absl::Duration ExpectedDuration() const;
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -29,6 +29,7 @@
   // Called when the request is quarantined because servers crashed while
   // running it. Ends the stream if it still waits for placement.
   void OnQuarantined();
+  bool IsEndPending() const override;
   void OnShutdownLimit() override { EndAsOpen("shutdown_limit"); }
   // Whether no engine has been asked to run the stream yet.
   bool IsWaiting() const;
--- a/include/chervilwick/net/http_client.h
+++ b/include/chervilwick/net/http_client.h
@@ -101,6 +101,8 @@
   void Forget(const Endpoint& server);
   // Whether no byte of the request can have reached the server yet.
   bool IsUnsent(CallId id) const;
+  // Whether all bytes of the answer are there, and only its end is in doubt.
+  bool IsEndPending(CallId id) const;
   // Connection of a call that has not ended.
   ConnectionId ConnectionOf(CallId id) const;
 
--- a/lib/front/front_shutdown.cc
+++ b/lib/front/front_shutdown.cc
@@ -59,9 +59,11 @@
 }
 
 void FrontDaemon::EndOpenRequests() {
-  cut_requests_ += relays_.size();
   std::vector<Relay*> open;
-  for (const auto& it : relays_) open.push_back(it.second.get());
+  for (const auto& it : relays_) {
+    if (!it.second->IsEndPending()) open.push_back(it.second.get());
+  }
+  cut_requests_ += open.size();
   // Each ends itself and is destroyed by the loop.
   for (Relay* it : open) it->OnShutdownLimit();
 }
@@ -75,7 +77,7 @@
   if (now >= shutdown_->end_requests_at() && !relays_.empty()) {
     EndOpenRequests();
     // Their answers are sent by the next turns of the loop.
-    return;
+    if (now < shutdown_->exit_at()) return;
   }
   if (now >= shutdown_->exit_at()) {
     loop_.Stop();
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -1,5 +1,6 @@
 #include "chervilwick/front/plain_relay.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -340,6 +341,12 @@
   EndAsOpen("timeout");
 }
 
+bool PlainRelay::IsEndPending() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& it) {
+    return context().client.IsEndPending(it.second.call);
+  });
+}
+
 void PlainRelay::OnShutdownLimit() { EndAsOpen("shutdown_limit"); }
 
 void PlainRelay::EndAsOpen(absl::string_view reason) {
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -483,6 +483,10 @@
 
 void StreamRelay::OnQuarantined() { lifecycle_.RecheckQuarantine(Now()); }
 
+bool StreamRelay::IsEndPending() const {
+  return context().client.IsEndPending(decode_call_.id);
+}
+
 bool StreamRelay::IsWaiting() const {
   return lifecycle_.phase() == Phase::kWaiting && lifecycle_.runs() == 0;
 }
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -541,6 +541,11 @@
   return it != calls_.end() && it->second->IsUnsent();
 }
 
+bool HttpClient::IsEndPending(CallId id) const {
+  auto it = calls_.find(id);
+  return it != calls_.end() && it->second->HasEnded();
+}
+
 ConnectionId HttpClient::ConnectionOf(CallId id) const {
   auto it = calls_.find(id);
   return it == calls_.end() ? ConnectionId() : it->second->id();
--- a/unittests/front/broken_off_test.cc
+++ b/unittests/front/broken_off_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -39,11 +40,12 @@
  public:
   using Whole = std::function<std::string(const std::string& id)>;
 
-  OneServer()
+  explicit OneServer(absl::Duration shutdown_limit = absl::Seconds(8))
       : peer_([this](const HttpHead& request, const std::string&) {
           std::string whole = whole_(Id(request));
           if (Id(request).empty()) return Reply("HTTP/1.1 200 OK\r\n\r\n");
           size_t n = cut_ == std::string::npos ? whole.size() : cut_;
+          std::this_thread::sleep_for(delay_);
           Reply reply(whole.substr(0, n));
           reply.closes = end_ == End::kOrderly;
           reply.resets = end_ == End::kReset;
@@ -56,6 +58,7 @@
     }
     List("d8", "llm", "decode");
     List("s8", "desk", "");
+    it.settings.shutdown_limit = shutdown_limit;
     it.last_id = 1000;  // ids of one length
     it.Start();
   }
@@ -75,6 +78,12 @@
     return answer;
   }
 
+  // Answers are whole, and the server takes that long for each.
+  void SetAnswer(const Whole& whole, std::chrono::milliseconds delay) {
+    whole_ = whole;
+    delay_ = delay;
+  }
+
   TestDeployment it;
 
  private:
@@ -92,6 +101,7 @@
 
   Whole whole_ = [](const std::string&) { return std::string(); };
   size_t cut_ = std::string::npos;
+  std::chrono::milliseconds delay_{0};
   End end_ = End::kOrderly;
   ScriptedPeer peer_;
 };
@@ -243,6 +253,28 @@
   CHECK_FALSE((answer.is_complete && answer.status < 300));
 }
 
+TEST_CASE("answer that ends just before the limit of a stop is whole",
+          "[front][broken_off]") {
+  for (const char* target : {"/note/x", "/book/x"}) {
+    INFO(target);
+    // What is open 1.75 s after the begin of the stop is ended.
+    OneServer server(absl::Seconds(2));
+    std::string body = StreamEvents(1, 3);
+    server.SetAnswer(
+        [&](const std::string& id) { return UnframedTo(id, body); },
+        std::chrono::milliseconds(1725));
+    auto answer = server.it.SendRequest("POST", target, "", 2500);
+    server.it.loop.RunFor(absl::Milliseconds(5));
+    server.it.front->BeginShutdown();
+    absl::Time end = server.it.loop.Now() + absl::Milliseconds(2200);
+    while (server.it.loop.Now() < end) {
+      server.it.loop.RunFor(absl::Milliseconds(5));
+    }
+    CHECK(answer->body == body);
+    CHECK(answer->is_complete);
+  }
+}
+
 TEST_CASE("stream without a length that ends inside a comment is not whole",
           "[front][broken_off]") {
   OneServer server;
