Review: a stopping front takes streams that it then cuts

A front that stops takes a request if the 90th percentile of the route's recent durations still fits, however long after SIGTERM it was sent.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -78,6 +78,7 @@
 
     def __init__(self, address, handler):
         self.address, self.handler = address, handler
+        self.takes_channels = lambda: True  # else new ones are reset
         self.writers, self.server, self.tasks = set(), None, set()
 
     async def start(self):
@@ -86,6 +87,9 @@
             self.serve, host, int(port), backlog=512, limit=1 << 20)
 
     async def serve(self, reader, writer):
+        if not self.takes_channels():
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -356,20 +360,26 @@
     async def run(self, wants, target, headers, body, writer):
         raise NotImplementedError
 
-    async def send_stream(self, headers, writer, events, gap_s):
+    async def send_stream(self, headers, writer, events, gap_s, unframed=False):
+        """An unframed answer has neither a length nor chunks and ends with its channel."""
         stamp = self.stamp(headers)
-        writer.write(message("HTTP/1.1 200 OK", {
-            "X-Request-Id": headers.get("x-request-id"), "X-Response-Stamp": stamp,
-            "Content-Type": "text/event-stream"}, chunked=True))
+        fields = {"X-Request-Id": headers.get("x-request-id"), "X-Response-Stamp": stamp,
+                  "Content-Type": "text/event-stream"}
+        if unframed:
+            head = "".join(f"{key}: {it}\r\n" for key, it in fields.items())
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n".encode())
+        else:
+            writer.write(message("HTTP/1.1 200 OK", fields, chunked=True))
         first = int(headers.get("last-event-id") or 0) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(gap_s)
             event = f"id: {number}\ndata: {number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if not unframed:
+            writer.write(b"0\r\n\r\n")
         self.bed.record("run_done", engine=self.id, id=headers.get("x-request-id"))
-        return False
+        return unframed
 
 
 class Front:
@@ -432,6 +442,7 @@
         self.folder = tempfile.mkdtemp(prefix="chervilwick-review-")
         self.net = self.free_net()
         self.engines, self.fronts, self.tasks = [], [], []
+        self.in_use, self.asked = [], 0.0
         self.store = Store(self.address(0, 8142), self.record)
 
     @staticmethod
@@ -472,6 +483,22 @@
                 await asyncio.sleep(0.1)
         self.record("ready", fronts=len(self.fronts))
 
+    async def balance(self):
+        """Asks each front each second, as the platform does; keeps `in_use` of one zone."""
+        misses = {it.name: 0 for it in self.fronts}
+        while True:
+            self.asked = time.monotonic()
+            ready = await asyncio.gather(*(self.is_ready(it) for it in self.fronts))
+            for it, answer in zip(self.fronts, ready):
+                misses[it.name] = 0 if answer else misses[it.name] + 1
+            used = [it for it in self.fronts if misses[it.name] < 2]
+            if used and 2 * len(used) < len(self.fronts):
+                used = self.fronts
+            if used != self.in_use:
+                self.record("in_use", fronts=",".join(it.name for it in used))
+            self.in_use = list(used)
+            await asyncio.sleep(max(0.0, self.asked + 1 - time.monotonic()))
+
     async def is_ready(self, front):
         answer = await self.ask(front.ready, "GET", "/chervilwick/readyz", {}, timeout=1.0)
         return answer["status"] == 200
