--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,95 +1,98 @@
-"""BUDGET: a request that crashes engines is sent on and on by fronts whose seeds are down."""
+"""CONFIG: fronts act on the old config after an outage of the store in which it was silent."""
 
 import asyncio
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import bed as lib  # noqa: E402
 
-FRONTS = 10
+FRONTS = 4
 CONTACT_S = 3.0
-MAX_RETRIES = 3
-POISON = b'{"visit":"crashes the engine"}'
-PAUSE_S = 1.6
-RESTART_S = 3.0
+CONFIG_APPLY_S = 2.0
+# The store is silent for 6.5 to 8 s; it is back just after all fronts have called it.
+SHORTEST_S, LONGEST_S = 6.5, 8.0
+# An engine's entry changed that long before.
+LAST_CHANGE_S = 2.0
+CHANGE_AFTER_S = 0.5
+OUTAGES = 2
 
 
 class Desk(lib.Engine):
-    """Crashes when it begins to run the poison; is back after some seconds."""
-
     async def run(self, wants, target, headers, body, writer):
         stamp = self.stamp(headers)
-        if body == POISON:
-            self.bed.record("crash", engine=self.id, id=headers["x-request-id"],
-                            lost_with_it=self.running - 1)
-            self.bed.lost += self.running - 1
-            self.bed.tasks.append(asyncio.create_task(self.restart()))
-            await asyncio.sleep(60)
-        await asyncio.sleep(0.3)
-        self.bed.record("run_done", engine=self.id, id=headers["x-request-id"])
-        self.reply(writer, headers, 200, b"booked " + stamp.encode(), X_Response_Stamp=stamp)
+        await asyncio.sleep(0.01)
+        self.reply(writer, headers, 200, f"{self.service} {stamp}".encode(),
+                   X_Response_Stamp=stamp)
         return False
 
-    async def restart(self):
-        self.crash()
-        await asyncio.sleep(RESTART_S)
-        await self.start()
-
 
-async def play(bed):
-    bed.lost = 0
-    for it in range(6):
-        Desk(bed, f"desk-{it}", "desk", slots=6)
-    # With the disruption the three seeds are machines that are down.
-    down = [bed.control(60 + it) for it in range(3)]
-    up = [bed.control(it) for it in range(3)]
-    bed.add_fronts(FRONTS, down if lib.trouble() else up)
-    bed.record("seeds", of="all fronts", down=int(lib.trouble()))
-    await bed.start(lib.config(
+def version(number):
+    """Each version moves the route to the other service."""
+    service = ("desk-a", "desk-b")[number % 2]
+    return service, lib.config(
         [{"name": "book", "host": "app.example", "prefix": "/book/", "kind": "non_idempotent",
-          "timeout_ms": 3000, "goal_ms": 400, "priority": 0, "service": "desk", "attempts": 1,
+          "timeout_ms": 3000, "goal_ms": 300, "priority": 0, "service": service, "attempts": 1,
           "resumable": False}],
-        [{"name": "desk", "max_conns": 96, "health_path": "/healthz"}]))
-    await asyncio.sleep(5)  # longer than contact_ms: the fronts are in touch
-    over = False
+        [{"name": it, "max_conns": 96, "health_path": "/healthz"} for it in ("desk-a", "desk-b")],
+        version=number)
 
-    async def bookings():
-        number, running = 0, set()
-        while not over:
-            number += 1
-            task = asyncio.create_task(bed.request(
-                bed.fronts[number % FRONTS], "POST", f"/book/{number}", f"b{number}",
-                {"X-Deadline-Ms": "3000"}, b"visit %d" % number, timeout=4))
-            running.add(task)
-            task.add_done_callback(running.discard)
-            await asyncio.sleep(0.04)
-        await asyncio.gather(*running)
 
-    traffic = asyncio.create_task(bookings())
-    sent = {}
-    for number in range(3 * FRONTS // 2):
-        request = f"poison{number}"
-        sent[request] = bed.record.now()
-        await bed.request(bed.fronts[number % FRONTS], "POST", "/book/poison", request,
-                          {"X-Deadline-Ms": "3000"}, POISON, timeout=4)
-        await asyncio.sleep(max(0, sent[request] + PAUSE_S - bed.record.now()))
-    over = True
-    await traffic
-    crashes, late = [], set()
-    with open(os.path.join(HERE, "record.txt"), encoding="utf-8") as file:
-        for line in file:
-            at, what, *words = line.split()
-            request = next((it[3:] for it in words if it.startswith("id=")), "")
-            if what == "arrive" and request in sent and len(crashes) >= 3:
-                if sent[request] > crashes[2] + CONTACT_S:
-                    late.add(request)
-            if what == "crash":
-                crashes.append(float(at))
-    bed.record("result", crashes=len(crashes), retries_after_third_and_contact=len(late),
-               other_runs_lost=bed.lost)
-    return len(late) > MAX_RETRIES
+async def play(bed):
+    for service in ("desk-a", "desk-b"):
+        for it in range(2):
+            spare = Desk(bed, f"{service}-{it}", service, slots=64)
+    bed.add_fronts(FRONTS, [bed.control(it) for it in range(3)])
+    number = 2
+    await bed.start(version(number)[1])
+    await asyncio.sleep(5)  # longer than contact_ms: the fronts are in touch
+    count, wrong, failed = 0, [], 0
+    for outage in range(OUTAGES):
+        spare.slots += 1
+        spare.publish()
+        await asyncio.sleep(LAST_CHANGE_S)
+        begin = time.monotonic()
+        bed.store.silent, bed.store.silent_calls = lib.trouble(), []
+        bed.record("store", silent=int(lib.trouble()))
+        while time.monotonic() < begin + LONGEST_S:
+            calls = [it for it in bed.store.silent_calls if it > begin + SHORTEST_S]
+            if len(calls) >= FRONTS:
+                break
+            await asyncio.sleep(0.005)
+        bed.store.silent = False
+        back = bed.record.now()
+        bed.record("store", silent=0, was_s=f"{time.monotonic() - begin:.3f}")
+        await asyncio.sleep(CHANGE_AFTER_S)
+        number += 1
+        service, new = version(number)
+        bed.store.put_json("op/config", new)
+        acked = bed.record.now()
+        bed.record("config_acked", version=number, service=service)
+        # Requests sent from now on are judged: the fronts are in touch again.
+        judged_from = max(back + CONTACT_S, acked + CONFIG_APPLY_S)
+        await asyncio.sleep(judged_from + 0.001 - bed.record.now())
+        tasks = []
+        while bed.record.now() < judged_from + 1.0:
+            for front in bed.fronts:
+                count += 1
+                tasks.append(asyncio.create_task(bed.request(
+                    front, "POST", f"/book/{count}", f"b{count}", {"X-Deadline-Ms": "3000"},
+                    b"visit", timeout=4)))
+            await asyncio.sleep(0.02)
+        answers = await asyncio.gather(*tasks)
+        stale = [it for it in answers
+                 if it["status"] == 200 and not it["body"].startswith(service.encode())]
+        wrong += stale
+        failed += sum(it["status"] != 200 for it in answers)
+        bed.record("outage_result", number=outage, requests=len(answers),
+                   run_by_old_service=len(stale))
+        await asyncio.sleep(3)
+        if wrong:
+            break
+    bed.record("result", run_by_old_service=len(wrong), not_served=failed)
+    return bool(wrong)
 
 
 lib.main(HERE, play)
