--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -116,6 +116,12 @@
   void SetCrashHandler(CrashHandler handler) {
     on_counted_ = std::move(handler);
   }
+  // Called with each request whose crashes are forgotten because it completed,
+  // at this front or at another one.
+  using ClearHandler = std::function<void(Fingerprint, absl::Time)>;
+  void SetClearHandler(ClearHandler handler) {
+    on_cleared_ = std::move(handler);
+  }
   // Called when the parts that are blamed have changed.
   using BlameHandler = std::function<void(const std::vector<BlamedParts>&)>;
   void SetBlameHandler(BlameHandler handler) { on_blame_ = std::move(handler); }
@@ -260,6 +266,7 @@
                      absl::Time now) const;
 
   CrashHandler on_counted_;
+  ClearHandler on_cleared_;
   EntryMap entries_;
   std::multimap<Fingerprint, PendingRun> pending_runs_;
   std::map<BackendName, absl::Time> server_ends_;
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -26,6 +26,7 @@
   Route route;
   VersionNumber version;
   ServiceName service;
+  Endpoint client;
   Fingerprint fingerprint;
   // Of the parts of the prompt that other requests may share, in order.
   std::vector<Fingerprint> parts;
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -197,6 +197,9 @@
   pending_runs_.erase(content.request);
   auto it = entries_.find(content.request);
   if (it != entries_.end()) {
+    if (on_cleared_ && !it->second.crashes.empty()) {
+      on_cleared_(content.request, now);
+    }
     it->second.crashes.clear();
     it->second.exonerated = now;
     unsent_exonerations_.push_back(content.request);
@@ -292,6 +295,8 @@
   if (at <= entry.exonerated) return;
   entry.exonerated = at;
   has_new_evidence_ = true;
+  bool is_cleared = !entry.crashes.empty() && entry.LastCrash() <= at;
+  if (on_cleared_ && is_cleared) on_cleared_(it.fingerprint, now);
   for (auto run = entry.crashes.begin(); run != entry.crashes.end();) {
     run = run->second.at <= at ? entry.crashes.erase(run) : std::next(run);
   }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -159,6 +159,11 @@
                         {"backend", backend.value()},
                         {"breaks", context_.suspects.CrashCount(fingerprint)}});
   });
+  context_.suspects.SetClearHandler(
+      [this](Fingerprint fingerprint, absl::Time now) {
+        context_.log.Write(now, "breaks_cleared",
+                           {{"fingerprint", FingerprintText(fingerprint)}});
+      });
   context_.suspects.SetBlameHandler(
       [this](const std::vector<BlamedParts>& blamed) { LogBlamed(blamed); });
   context_.suspects.SetTrialDelay(absl::Uniform(random_, 0.0, 1.0) *
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -86,6 +86,7 @@
   admitted.route = *route;
   admitted.version = table_.version;
   admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
+  admitted.client = client;
   admitted.fingerprint = FingerprintOf(request, client);
   admitted.parts = FingerprintsOf(facts.shared_parts);
   absl::Duration quarantine =
