Tests: crashing requests from several addresses, failing

Requests of one work arrive at four real fronts from twelve loopback addresses, over new and kept connections, with other ids, deadlines, hosts' spelling and framing of the body; the test counts the servers that end. Sound requests on the same path go beside them.

--- a/unittests/common/raw_peer.cc
+++ b/unittests/common/raw_peer.cc
@@ -76,11 +76,15 @@
   return block.Next();
 }
 
-int ConnectRaw(const Endpoint& endpoint) {
+int ConnectRaw(const Endpoint& endpoint, uint32_t source_ip) {
   int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in source = Endpoint{source_ip, 0}.ToSockaddr();
+  bool is_bound =
+      source_ip == 0 ||
+      bind(socket, reinterpret_cast<sockaddr*>(&source), sizeof(source)) == 0;
   sockaddr_in address = endpoint.ToSockaddr();
-  if (connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
-      0) {
+  if (!is_bound || connect(socket, reinterpret_cast<sockaddr*>(&address),
+                           sizeof(address)) != 0) {
     close(socket);
     return -1;
   }
--- a/unittests/common/raw_peer.h
+++ b/unittests/common/raw_peer.h
@@ -3,6 +3,7 @@
 #ifndef CHERVILWICK_UNITTESTS_COMMON_RAW_PEER_H_
 #define CHERVILWICK_UNITTESTS_COMMON_RAW_PEER_H_
 
+#include <cstdint>
 #include <string>
 #include <thread>
 
@@ -12,8 +13,9 @@
 
 // Loopback address with a port that is free now.
 Endpoint FreeEndpoint();
-// Blocking connection to a listener on loopback; -1 if there is none.
-int ConnectRaw(const Endpoint& endpoint);
+// Blocking connection to a listener on loopback; -1 if there is none. From the
+// given address of this host, or else from the one that the system picks.
+int ConnectRaw(const Endpoint& endpoint, uint32_t source_ip = 0);
 // What has arrived.
 std::string ReadAvailable(int socket);
 
--- a/unittests/front/crash_deployment.h
+++ b/unittests/front/crash_deployment.h
@@ -3,21 +3,27 @@
 #ifndef CHERVILWICK_UNITTESTS_FRONT_CRASH_DEPLOYMENT_H_
 #define CHERVILWICK_UNITTESTS_FRONT_CRASH_DEPLOYMENT_H_
 
+#include <sys/socket.h>
+
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "deployment.h"
+#include "raw_peer.h"
 
 namespace chervilwick {
 
 using CrashMode = PlatformEngine::CrashMode;
 
 inline constexpr int kFronts = 4;
+inline constexpr int kServers = 5;  // of the plain service
 // Server crashes allowed before all fronts quarantine the request.
 inline constexpr int kMaxCrashes = 3;
 inline constexpr absl::Duration kDownTime = absl::Seconds(2);
@@ -127,6 +133,18 @@
     return *answer;
   }
 
+  // Runs the fronts until a whole answer has arrived, the connection is closed
+  // or the time is over. Returns what has arrived.
+  std::string ReadAnswer(int socket, absl::Duration time) {
+    absl::Time end = setup_.loop.Now() + time;
+    std::string answer;
+    while (setup_.loop.Now() < end && !IsWhole(answer) && !IsClosed(socket)) {
+      RunFor(absl::Milliseconds(5));
+      absl::StrAppend(&answer, ReadAvailable(socket));
+    }
+    return answer;
+  }
+
   // Sets the fault of all servers. A server with a fault does not crash.
   void SetFaults(PlatformEngine::Fault fault) {
     for (const auto& it : setup_.engines) it.second->SetFault(fault);
@@ -138,6 +156,15 @@
     return crashes;
   }
 
+  // Leaves `n` of the plain servers in service.
+  void KeepServers(int n) {
+    for (int it = n + 1; it <= kServers; ++it) {
+      setup_.RemoveServer(absl::StrCat("s", it));
+    }
+  }
+
+  absl::Duration contact_limit() const { return setup_.settings.contact_limit; }
+
   // Sends the request to the fronts in turn until `crashes` servers have
   // crashed.
   void SendUntilCrashes(const std::string& method, int crashes) {
@@ -176,6 +203,22 @@
     std::unique_ptr<FrontDaemon> front;
   };
 
+  static bool IsWhole(const std::string& answer) {
+    size_t head = answer.find("\r\n\r\n");
+    if (head == std::string::npos) return false;
+    size_t field = answer.find("Content-Length: ");
+    if (field == std::string::npos || field > head) {
+      return absl::EndsWith(answer, "\r\n0\r\n\r\n");
+    }
+    size_t length = std::strtoul(&answer[field + 16], nullptr, 10);
+    return answer.size() >= head + 4 + length;
+  }
+
+  static bool IsClosed(int socket) {
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   std::unique_ptr<Peer> MakePeer(int number, bool is_isolated = false) {
     FrontSettings settings =
         setup_.PeerSettings(absl::StrCat("front-", number + 1), number);
