Front: the fingerprint of a request is its work, not its client's address

Cause: the fingerprint held the client's address. Clients send the same request from several addresses, so that each had a count of its own. PROTOCOL: such a request comes again with the same path, caller and body, at any machine; no field names a caller, and an address is not one. Now the fingerprint is of method, host, target and body (WorkFingerprint).

--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -6,7 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "chervilwick/front/front_daemon.h"
 #include "chervilwick/front/plain_relay.h"
-#include "chervilwick/support/hash.h"
+#include "chervilwick/front/request_identity.h"
 #include "chervilwick/support/overloaded.h"
 
 namespace chervilwick {
@@ -15,29 +15,6 @@
 // Retry-After while a starting front has no configuration yet: it usually
 // arrives within this time.
 constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
-// Keeps the fingerprints of parts apart from those of requests.
-constexpr uint64_t kPartSeed = 1;
-
-// Identifies repeats of a request by the same client account, which is known by
-// its address. For a request without a body, the method and the target identify
-// the work.
-Fingerprint FingerprintOf(const HttpRequest& request, const Endpoint& client) {
-  uint64_t hash = StableHash(request.head.method);
-  hash = StableHash(request.head.target, hash);
-  hash = StableHash(absl::StrCat(client.ip), hash);
-  return Fingerprint(StableHash(request.body, hash));
-}
-
-// Parts are the same whichever client account sends them.
-std::vector<Fingerprint> FingerprintsOf(const std::vector<std::string>& parts) {
-  std::vector<Fingerprint> fingerprints;
-  fingerprints.reserve(parts.size());
-  for (const std::string& it : parts) {
-    fingerprints.emplace_back(StableHash(it, kPartSeed));
-  }
-  return fingerprints;
-}
-
 }  // namespace
 
 void FrontDaemon::Reject(ExchangeId id, const RequestMetadata& facts,
@@ -87,8 +64,8 @@
   admitted.version = table_.version;
   admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
   admitted.client = client;
-  admitted.fingerprint = FingerprintOf(request, client);
-  admitted.parts = FingerprintsOf(facts.shared_parts);
+  admitted.fingerprint = WorkFingerprint(request);
+  admitted.parts = PartFingerprints(facts.shared_parts);
   absl::Duration quarantine =
       context_.suspects.QuarantineLeft(admitted.Content(), admitted.arrived);
   if (quarantine > absl::ZeroDuration()) {
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "chervilwick/front/request_identity.h"
 
 namespace chervilwick {
 namespace {
@@ -154,15 +153,13 @@
 
 void Relay::LogLostRun(absl::string_view backend, absl::string_view sign) {
   ++context_.stats.lost_runs[absl::StrCat(sign)];
-  context_.log.Write(
-      Now(), "run_lost",
-      {{"id", admitted_.facts.request_id},
-       {"fingerprint", FingerprintText(admitted_.fingerprint)},
-       {"work", FingerprintText(WorkFingerprint(admitted_.request))},
-       {"client", admitted_.client.ToString()},
-       {"parts", FingerprintText(admitted_.parts)},
-       {"backend", backend},
-       {"sign", sign}});
+  context_.log.Write(Now(), "run_lost",
+                     {{"id", admitted_.facts.request_id},
+                      {"fingerprint", FingerprintText(admitted_.fingerprint)},
+                      {"client", admitted_.client.ToString()},
+                      {"parts", FingerprintText(admitted_.parts)},
+                      {"backend", backend},
+                      {"sign", sign}});
 }
 
 std::optional<absl::Time> Relay::TakeRepeat() {
--- a/lib/front/request_identity.cc
+++ b/lib/front/request_identity.cc
@@ -1,4 +1,4 @@
-// What makes two requests the same.
+// What makes two requests, or two parts of prompts, the same.
 
 #include "chervilwick/front/request_identity.h"
 
@@ -8,6 +8,12 @@
 #include "chervilwick/support/hash.h"
 
 namespace chervilwick {
+namespace {
+
+// Keeps the fingerprints of parts apart from those of requests.
+constexpr uint64_t kPartSeed = 1;
+
+}  // namespace
 
 Fingerprint WorkFingerprint(const HttpRequest& request) {
   // As routes are matched: without the port, in any case.
@@ -19,4 +25,13 @@
   return Fingerprint(StableHash(request.body, hash));
 }
 
+std::vector<Fingerprint> PartFingerprints(const std::vector<std::string>& ids) {
+  std::vector<Fingerprint> fingerprints;
+  fingerprints.reserve(ids.size());
+  for (const std::string& it : ids) {
+    fingerprints.emplace_back(StableHash(it, kPartSeed));
+  }
+  return fingerprints;
+}
+
 }  // namespace chervilwick
--- a/unittests/dispatch/crash_suspects_test.cc
+++ b/unittests/dispatch/crash_suspects_test.cc
@@ -122,6 +122,34 @@
   CHECK(fronts[1].CrashCount(kCrashing) == 1);
 }
 
+TEST_CASE("the end of a server is one, whoever notices it and however",
+          "[dispatch][identity]") {
+  rc::prop("observers, signs, send times and copies differ", [] {
+    std::vector<CrashSuspects> fronts = Fronts(4);
+    absl::Time ended = kStart + absl::Seconds(2);
+    int observers = *rc::gen::inRange(1, 7);
+    for (int it = 0; it < observers; ++it) {
+      CrashSuspects& front = fronts[*rc::gen::inRange<size_t>(0, 4)];
+      absl::Time sent = ended - absl::Milliseconds(*rc::gen::inRange(1, 900));
+      absl::Time noticed =
+          ended + absl::Milliseconds(*rc::gen::inRange(0, 400));
+      bool is_closed = *rc::gen::arbitrary<bool>();
+      front.ReportLost({kCrashing, kServer, kBorn, sent, is_closed}, noticed);
+      front.ReportServerEnd(kServer, noticed);
+      for (CrashSuspects& other : fronts) {
+        other.MergeUpdate(front.RecentUpdate(noticed), noticed);
+      }
+    }
+    for (const CrashSuspects& it : fronts) {
+      RC_ASSERT(it.CrashCount(kCrashing) == 1U);
+    }
+    // The next start of the server is another one.
+    absl::Time later = ended + absl::Seconds(3);
+    CrashServer(fronts[0], kCrashing, kServer, later, kBorn + 1);
+    RC_ASSERT(fronts[0].CrashCount(kCrashing) == 2U);
+  });
+}
+
 TEST_CASE("digests repeat crashes whose datagram was lost", "[dispatch]") {
   std::vector<CrashSuspects> fronts = Fronts(2);
   Crash(fronts[0], kCrashing, kStart);
