Suspects: a sound request that ran beside a crashing one is tried soon

Callers saw: a lookup that had run at the three servers that ended under another request was refused for 120 s, to all callers of the same work, as its fingerprint no longer tells callers apart. Cause: nothing runs while a request is quarantined, so nothing can speak for it. Now, while another request ran at every server that ended under it, fronts take turns to let it run once. A whole answer clears it at all fronts; the end of its server leaves it as the only suspect, and it is not tried again. A trial has no hedge, no retry and no replacement; Retry-After is the end of the turn meanwhile. A request that was alone at its crashes is not tried. Where the crashing one comes again too, one more server ends at most.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -27,6 +27,7 @@
 struct RequestContent {
   Fingerprint request;
   std::vector<Fingerprint> parts;
+  bool is_trial = false;  // see CrashSuspects::BeginTrial
 };
 
 // Identifies one end of a backend server, within one fingerprint. All copies of
@@ -105,6 +106,11 @@
 // the crashes, and it ends after the same time as that of a request. After that
 // each front lets one request at a time try, and fronts begin at different
 // times.
+//
+// A request that only ran beside a crashing one has the same crashes. While
+// another request ran at all servers that ended under a quarantined one, fronts
+// take turns to let the latter run once: if it completes it is cleared at all
+// fronts, and if its server ends it is the one to blame.
 class CrashSuspects {
  public:
   // Crashes after which a request is quarantined.
@@ -122,6 +128,10 @@
   void SetClearHandler(ClearHandler handler) {
     on_cleared_ = std::move(handler);
   }
+  // Tells whether it is this front's turn to try a request. Turns have numbers,
+  // and each belongs to one front.
+  using TurnHolder = std::function<bool(Fingerprint, uint64_t turn)>;
+  void SetTurnHolder(TurnHolder holder) { has_turn_ = std::move(holder); }
   // Called when the parts that are blamed have changed.
   using BlameHandler = std::function<void(const std::vector<BlamedParts>&)>;
   void SetBlameHandler(BlameHandler handler) { on_blame_ = std::move(handler); }
@@ -150,6 +160,11 @@
   void ReportWritten(const std::vector<Fingerprint>& parts, absl::Time now);
   // The request is sent to a server.
   void ReportSent(const RequestContent& content, absl::Time now);
+  // Lets one run of a quarantined request through if another request may be to
+  // blame and it is this front's turn. The caller sets `is_trial` in the
+  // content of that run. It is refused again once a server of the run has
+  // ended.
+  bool BeginTrial(const RequestContent& content, absl::Time now);
   // Merges the sets of another front. Returns a fingerprint for each crash that
   // was not known before.
   std::vector<Fingerprint> MergeUpdate(const CrashUpdate& news, absl::Time now);
@@ -164,6 +179,10 @@
   bool IsQuarantined(const Content& content, absl::Time now) const {
     return QuarantineLeft(content, now) > absl::ZeroDuration();
   }
+  // Until a client should come back: the quarantine, or the turn of a front
+  // that may clear the request, whichever ends first.
+  absl::Duration RetryAfter(const RequestContent& content,
+                            absl::Time now) const;
   const std::vector<BlamedParts>& blamed() const { return blamed_; }
   // Number of crashes in the whole fleet, as far as this front knows.
   uint32_t CrashCount(Fingerprint fingerprint) const;
@@ -229,12 +248,27 @@
     absl::Time end;
   };
 
+  // A run of a quarantined request.
+  struct RequestTrial {
+    size_t crashes = 0;  // when it began
+    absl::Time end;
+  };
+
   // A lost run whose server is not known yet to have ended.
   struct PendingRun {
     LostRun run;
     absl::Time lost;
   };
 
+  // Crashes of the request, those that are not decided yet included.
+  size_t CrashesAndPending(Fingerprint request) const;
+  bool IsTrialOpen(Fingerprint request, absl::Time now) const;
+  // Whether another request ran at all servers that ended under this one.
+  bool HasOtherSuspect(const EntryMap::value_type& suspect) const;
+  // Until a front may have cleared the request by a trial; nullopt if none will
+  // try it.
+  std::optional<absl::Duration> TrialLeft(const EntryMap::value_type& suspect,
+                                          absl::Time now) const;
   // Counts a crash: the run's server ended at that time, or shortly before.
   void CountCrash(const LostRun& run, absl::Time ended, absl::Time now);
   void MergeExoneration(const Exoneration& it, absl::Time now);
@@ -248,6 +282,8 @@
   ServedPart& FindOrCreateServed(Fingerprint part);
   void TellServed(Fingerprint part, absl::Time now);
   void UpdateBlamed();
+  absl::Duration PartsQuarantineLeft(const RequestContent& content,
+                                     absl::Time now) const;
   absl::Time QuarantineEnd(const BlamedParts& blamed) const;
   static bool HasParts(const RequestContent& content,
                        const BlamedParts& blamed);
@@ -273,6 +309,8 @@
   std::map<Fingerprint, ServedPart> served_parts_;
   std::vector<BlamedParts> blamed_;
   std::map<std::set<Fingerprint>, Trial> trials_;
+  std::map<Fingerprint, RequestTrial> request_trials_;
+  TurnHolder has_turn_;
   bool has_new_evidence_ = false;
   absl::Duration trial_delay_;
   BlameHandler on_blame_;
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -212,6 +212,8 @@
   // Ends the stream if such requests are suspected to crash servers.
   bool RefuseIfQuarantined(absl::Time now);
   bool IsQuarantined(absl::Time now) const;
+  // A trial is one run only.
+  bool MayNotRunAgain(absl::Time now) const;
   static absl::Duration PromptTimeout(const Step& step);
   void SendPrompt(Step& step, absl::Time now);
   void StartPrompt(absl::Time now);
--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -47,6 +47,9 @@
   // Largest number of live fronts, including this one, within the retention
   // period. Includes the seeds while no peer is known.
   uint32_t AssumedFrontCount() const;
+  // Whether this front is the one of all live ones to which a turn of trying a
+  // request falls; all fronts agree as far as they know the same ones.
+  bool HasTurn(Fingerprint request, uint64_t turn) const;
   // Control address of the peer heard most recently; none without live peers.
   std::optional<Endpoint> AnyControl() const;
   Endpoint ControlOf(const Endpoint& peer) const;
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -31,8 +31,10 @@
   // Of the parts of the prompt that other requests may share, in order.
   std::vector<Fingerprint> parts;
   absl::Time arrived;
+  // One run of a quarantined request, which may not be repeated.
+  bool is_trial = false;
 
-  RequestContent Content() const { return {fingerprint, parts}; }
+  RequestContent Content() const { return {fingerprint, parts, is_trial}; }
   // Number of tokens that the response is estimated to have; 0 if unknown.
   uint32_t OutputTokens() const {
     uint32_t limit = facts.max_output_tokens;
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -24,6 +24,14 @@
 constexpr absl::Duration kFirstTrustedQuarantine = absl::Seconds(10);
 // Longest time from a send to the crash that it causes.
 constexpr absl::Duration kTrialTime = absl::Seconds(10);
+// Time from a crash until all fronts know of it and its server is back.
+constexpr absl::Duration kBeforeTrial = absl::Seconds(3);
+// Turn of one front: most trials show within it whether a server ends.
+constexpr absl::Duration kTurnTime = absl::Seconds(5);
+// Shortest Retry-After while a trial may clear a request.
+constexpr absl::Duration kMinTrialRetry = absl::Seconds(1);
+// A request that crashed so many servers is tried only after its quarantine.
+constexpr size_t kMaxTrialCrashes = 5;
 // The longest quarantine plus the retention.
 constexpr absl::Duration kMaxAge = absl::Minutes(32);
 // Per fingerprint; enough to reach the longest quarantine.
@@ -59,6 +67,13 @@
 // Least time between two messages in favour of one part.
 constexpr absl::Duration kTellInterval = absl::Milliseconds(400);
 
+// Whether two runs ended with the same end of a server.
+bool IsSameEnd(const ServerEndId& a, absl::Time a_at, const ServerEndId& b,
+               absl::Time b_at, bool is_time_known) {
+  return a.server == b.server &&
+         (!is_time_known || absl::AbsDuration(a_at - b_at) < kSameEndTime);
+}
+
 uint64_t HashOfServer(const LostRun& run) {
   return StableHash(absl::StrCat(run.backend.value(), "/", run.born_unix_ms));
 }
@@ -197,13 +212,15 @@
   pending_runs_.erase(content.request);
   auto it = entries_.find(content.request);
   if (it != entries_.end()) {
-    if (on_cleared_ && !it->second.crashes.empty()) {
-      on_cleared_(content.request, now);
-    }
-    it->second.crashes.clear();
-    it->second.exonerated = now;
-    unsent_exonerations_.push_back(content.request);
-    has_new_evidence_ = true;
+    Entry& entry = it->second;
+    bool had_crashes = !entry.crashes.empty();
+    if (on_cleared_ && had_crashes) on_cleared_(content.request, now);
+    entry.crashes.clear();
+    // Many callers may send the request: their answers in a row are one message.
+    bool is_due = had_crashes || now - entry.exonerated >= kTellInterval;
+    if (is_due) unsent_exonerations_.push_back(content.request);
+    if (is_due) entry.exonerated = now;
+    has_new_evidence_ = has_new_evidence_ || had_crashes;
   }
   for (Fingerprint part : content.parts) {
     FindOrCreateServed(part).completed = now;
@@ -405,9 +422,92 @@
   }
 }
 
+size_t CrashSuspects::CrashesAndPending(Fingerprint request) const {
+  auto it = entries_.find(request);
+  auto [first, last] = pending_runs_.equal_range(request);
+  std::set<uint64_t> servers;
+  for (auto pending = first; pending != last; ++pending) {
+    const LostRun& run = pending->second.run;
+    if (it != entries_.end() && !it->second.NewEnd(run, pending->second.lost)) {
+      continue;
+    }
+    servers.insert(HashOfServer(run));
+  }
+  return CrashCount(request) + servers.size();
+}
+
+bool CrashSuspects::IsTrialOpen(Fingerprint request, absl::Time now) const {
+  auto it = request_trials_.find(request);
+  return it != request_trials_.end() && now < it->second.end &&
+         CrashesAndPending(request) <= it->second.crashes;
+}
+
+bool CrashSuspects::HasOtherSuspect(const EntryMap::value_type& suspect) const {
+  auto ran_there = [](const Entry& other, const ServerEndId& end,
+                      const Crash& crash) {
+    return std::any_of(
+        other.crashes.begin(), other.crashes.end(), [&](const auto& it) {
+          return IsSameEnd(it.first, it.second.at, end, crash.at,
+                           !it.second.is_recorded && !crash.is_recorded);
+        });
+  };
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& other) {
+    if (other.first == suspect.first) return false;
+    if (other.second.crashes.size() < suspect.second.crashes.size()) {
+      return false;
+    }
+    return std::all_of(suspect.second.crashes.begin(),
+                       suspect.second.crashes.end(), [&](const auto& it) {
+                         return ran_there(other.second, it.first, it.second);
+                       });
+  });
+}
+
+std::optional<absl::Duration> CrashSuspects::TrialLeft(
+    const EntryMap::value_type& suspect, absl::Time now) const {
+  if (suspect.second.crashes.size() >= kMaxTrialCrashes) return std::nullopt;
+  if (!HasOtherSuspect(suspect)) return std::nullopt;
+  absl::Duration since = now - suspect.second.LastCrash() - kBeforeTrial;
+  if (since < absl::ZeroDuration()) return -since;
+  absl::Duration into_turn;
+  absl::IDivDuration(since, kTurnTime, &into_turn);
+  return kTurnTime - into_turn;
+}
+
+bool CrashSuspects::BeginTrial(const RequestContent& content, absl::Time now) {
+  auto it = entries_.find(content.request);
+  if (!has_turn_ || it == entries_.end()) return false;
+  size_t crashes = it->second.crashes.size();
+  absl::Duration since = now - it->second.LastCrash() - kBeforeTrial;
+  if (crashes < kQuarantineCrashes || crashes >= kMaxTrialCrashes ||
+      since < absl::ZeroDuration() ||
+      CrashesAndPending(content.request) != crashes) {
+    return false;
+  }
+  if (PartsQuarantineLeft(content, now) > absl::ZeroDuration()) return false;
+  auto trial = request_trials_.find(content.request);
+  if (trial != request_trials_.end() && now < trial->second.end) return false;
+  absl::Duration rest;
+  int64_t turn = absl::IDivDuration(since, kTurnTime, &rest);
+  if (!has_turn_(content.request, static_cast<uint64_t>(turn)) ||
+      !HasOtherSuspect(*it)) {
+    return false;
+  }
+  request_trials_[content.request] = {crashes, now + kTrialTime};
+  return true;
+}
+
 absl::Duration CrashSuspects::QuarantineLeft(const RequestContent& content,
                                              absl::Time now) const {
-  absl::Duration left = QuarantineLeft(content.request, now);
+  bool is_free = content.is_trial && IsTrialOpen(content.request, now);
+  absl::Duration left =
+      is_free ? absl::ZeroDuration() : QuarantineLeft(content.request, now);
+  return std::max(left, PartsQuarantineLeft(content, now));
+}
+
+absl::Duration CrashSuspects::PartsQuarantineLeft(const RequestContent& content,
+                                                  absl::Time now) const {
+  absl::Duration left = absl::ZeroDuration();
   for (const BlamedParts& it : blamed_) {
     if (!HasParts(content, it)) continue;
     absl::Time end = QuarantineEnd(it);
@@ -418,7 +518,18 @@
     }
     left = std::max(left, end - now);
   }
-  return std::max(left, absl::ZeroDuration());
+  return left;
+}
+
+absl::Duration CrashSuspects::RetryAfter(const RequestContent& content,
+                                         absl::Time now) const {
+  absl::Duration left = QuarantineLeft(content.request, now);
+  auto it = entries_.find(content.request);
+  if (it != entries_.end()) {
+    std::optional<absl::Duration> trial = TrialLeft(*it, now);
+    if (trial) left = std::min(left, std::max(*trial, kMinTrialRetry));
+  }
+  return std::max(left, PartsQuarantineLeft(content, now));
 }
 
 absl::Duration CrashSuspects::QuarantineLeft(Fingerprint request,
@@ -611,6 +722,9 @@
   for (auto it = trials_.begin(); it != trials_.end();) {
     it = it->second.end < now ? trials_.erase(it) : std::next(it);
   }
+  for (auto it = request_trials_.begin(); it != request_trials_.end();) {
+    it = it->second.end < now ? request_trials_.erase(it) : std::next(it);
+  }
   for (auto it = own_.begin(); it != own_.end();) {
     bool is_over = entries_.count(it->first.first) == 0;
     it = is_over ? own_.erase(it) : std::next(it);
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -161,12 +161,16 @@
   return services_.suspects.IsQuarantined(terms_.content, now);
 }
 
+bool StreamLifecycle::MayNotRunAgain(absl::Time now) const {
+  return terms_.content.is_trial || IsQuarantined(now);
+}
+
 bool StreamLifecycle::RefuseIfQuarantined(absl::Time now) {
-  absl::Duration left = services_.suspects.QuarantineLeft(terms_.content, now);
-  if (left == absl::ZeroDuration()) return false;
+  if (!IsQuarantined(now)) return false;
   Release(step_);
   DropHandle();
-  End(ReasonText(StreamRefusalReason::kQuarantined), left);
+  End(ReasonText(StreamRefusalReason::kQuarantined),
+      services_.suspects.RetryAfter(terms_.content, now));
   return true;
 }
 
--- a/lib/dispatch/stream_replacement.cc
+++ b/lib/dispatch/stream_replacement.cc
@@ -117,7 +117,7 @@
     reads_at_decode_ = true;
   }
   port_.OnReplacement(ReplacementStep::kSought, "");
-  if (IsQuarantined(now)) {
+  if (MayNotRunAgain(now)) {
     OnReplacementRefused(ReasonText(StreamRefusalReason::kQuarantined), now);
     return;
   }
@@ -144,7 +144,7 @@
   replacement_ = Replacement::kNone;
   if (phase_ == Phase::kDecode && placement.decode == decode_engine()) {
     OnReplacementRefused(kNoOtherEngine, now);
-  } else if (IsQuarantined(now)) {
+  } else if (MayNotRunAgain(now)) {
     OnReplacementRefused(ReasonText(StreamRefusalReason::kQuarantined), now);
   } else if (phase_ == Phase::kPrompt) {
     ReplacePrompt(now);
@@ -202,7 +202,7 @@
   absl::string_view reason;
   if (!step.holds_decode_place || IsDecodeLost(step, now)) {
     reason = kNoOtherEngine;
-  } else if (IsQuarantined(now)) {
+  } else if (MayNotRunAgain(now)) {
     reason = ReasonText(StreamRefusalReason::kQuarantined);
   } else if (!TakeSendBudget()) {
     reason = ReasonText(StreamRefusalReason::kNoRetryBudget);
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -164,6 +164,9 @@
         context_.log.Write(now, "breaks_cleared",
                            {{"fingerprint", FingerprintText(fingerprint)}});
       });
+  context_.suspects.SetTurnHolder([this](Fingerprint request, uint64_t turn) {
+    return peers_.HasTurn(request, turn);
+  });
   context_.suspects.SetBlameHandler(
       [this](const std::vector<BlamedParts>& blamed) { LogBlamed(blamed); });
   context_.suspects.SetTrialDelay(absl::Uniform(random_, 0.0, 1.0) *
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -69,9 +69,18 @@
   absl::Duration quarantine =
       context_.suspects.QuarantineLeft(admitted.Content(), admitted.arrived);
   if (quarantine > absl::ZeroDuration()) {
-    ++context_.stats.quarantined;
-    Reject(id, facts, 503, "quarantined", quarantine);
-    return;
+    if (!context_.suspects.BeginTrial(admitted.Content(), admitted.arrived)) {
+      ++context_.stats.quarantined;
+      Reject(
+          id, facts, 503, "quarantined",
+          context_.suspects.RetryAfter(admitted.Content(), admitted.arrived));
+      return;
+    }
+    admitted.is_trial = true;
+    context_.log.Write(
+        loop_.Now(), "trial",
+        {{"id", facts.request_id},
+         {"fingerprint", FingerprintText(admitted.fingerprint)}});
   }
   if (RefuseIfTooLate(admitted)) return;
   admitted.request = std::move(request);
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "chervilwick/support/hash.h"
 #include "chervilwick/support/random_seed.h"
 
 namespace chervilwick {
@@ -103,6 +104,18 @@
   return heard;
 }
 
+bool PeerLink::HasTurn(Fingerprint request, uint64_t turn) const {
+  bool is_alone = live_peers_.empty();
+  if (is_alone && AssumedFrontCount() > 1) return false;
+  auto rank = [&](const std::string& name) {
+    return StableHash(name, StableHash(absl::StrCat(turn), request.value()));
+  };
+  uint64_t own = rank(context_.settings.name);
+  return std::all_of(
+      live_peers_.begin(), live_peers_.end(),
+      [&](const auto& it) { return rank(it.second.digest.sender) <= own; });
+}
+
 uint32_t PeerLink::AssumedFrontCount() const {
   uint32_t most = static_cast<uint32_t>(live_peers_.size()) + 1;
   // While no peer is known, each seed counts as a front.
--- a/lib/front/plain_relay.cc
+++ b/lib/front/plain_relay.cc
@@ -53,14 +53,14 @@
 
 bool PlainRelay::MayRunAgain() const {
   return admitted().route.kind == RouteKind::kIdempotent &&
-         runs_ < admitted().route.attempts && sends_ < kMaxSends &&
-         !is_client_gone_;
+         !admitted().is_trial && runs_ < admitted().route.attempts &&
+         sends_ < kMaxSends && !is_client_gone_;
 }
 
 bool PlainRelay::FailIfQuarantined() {
-  absl::Duration left =
-      context().suspects.QuarantineLeft(admitted().Content(), Now());
-  if (left == absl::ZeroDuration()) return false;
+  if (!context().suspects.IsQuarantined(admitted().Content(), Now())) {
+    return false;
+  }
   // The request ends with the run that is still open.
   if (!attempts_.empty()) return true;
   ++context().stats.quarantined;
@@ -68,8 +68,13 @@
     DeliverFailure();
     return true;
   }
-  RespondWithError(runs_ == 0 ? ErrorResponse{503, "quarantined", left}
-                              : ErrorResponse{502, "quarantined"});
+  if (runs_ > 0) {
+    RespondWithError({502, "quarantined"});
+  } else {
+    RespondWithError(
+        {503, "quarantined",
+         context().suspects.RetryAfter(admitted().Content(), Now())});
+  }
   return true;
 }
 
--- a/unittests/front/crash_deployment.h
+++ b/unittests/front/crash_deployment.h
@@ -161,6 +161,7 @@
     for (int it = n + 1; it <= kServers; ++it) {
       setup_.RemoveServer(absl::StrCat("s", it));
     }
+    RunFor(absl::Milliseconds(500));
   }
 
   absl::Duration contact_limit() const { return setup_.settings.contact_limit; }
--- a/unittests/front/crashing_request_sources_test.cc
+++ b/unittests/front/crashing_request_sources_test.cc
@@ -53,7 +53,50 @@
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
+  // An open request: its connection and where to keep that afterwards.
+  struct Open {
+    int socket = -1;
+    std::pair<int, int> place;
+  };
+
+  Open Begin(const std::string& target, const std::string& body = "") {
+    // No two requests in a row come from one address or to one front.
+    next_source_ = (next_source_ + Pick(1, kSources - 1)) % kSources;
+    next_front_ = (next_front_ + Pick(1, kFronts - 1)) % kFronts;
+    auto place = std::make_pair(next_source_, next_front_);
+    auto kept = kept_.find(place);
+    int socket = -1;
+    if (kept != kept_.end()) {
+      socket = kept->second;
+      kept_.erase(kept);
+    } else {
+      socket = ConnectRaw(*Endpoint::Parse(fleet_.FrontAddress(next_front_)),
+                          kFirstSource + static_cast<uint32_t>(next_source_));
+    }
+    REQUIRE(socket >= 0);
+    std::string bytes = Framed(target, body);
+    REQUIRE(send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+    return {socket, place};
+  }
+
   // Returns the status of the answer; 0 if there is none.
+  int Finish(const Open& open) {
+    std::string answer = fleet_.ReadAnswer(open.socket, kAnswerTime);
+    bool is_whole = absl::StartsWith(answer, "HTTP/1.1 ");
+    if (is_whole && Pick(0, 1) == 0) {
+      kept_[open.place] = open.socket;
+    } else {
+      close(open.socket);
+    }
+    int status = 0;
+    if (is_whole) (void)absl::SimpleAtoi(answer.substr(9, 3), &status);
+    return status;
+  }
+
+  int Send(const std::string& target, const std::string& body = "") {
+    return Finish(Begin(target, body));
+  }
   int SendDeadly() { return Send(work_.target, kDeadlyBody); }
   int SendSound() {
     std::string number = absl::StrCat(++sound_);
@@ -87,36 +130,6 @@
     return hosts[Pick(0, 2)];
   }
 
-  int Send(const std::string& target, const std::string& body) {
-    // No two requests in a row come from one address or to one front.
-    next_source_ = (next_source_ + Pick(1, kSources - 1)) % kSources;
-    next_front_ = (next_front_ + Pick(1, kFronts - 1)) % kFronts;
-    auto place = std::make_pair(next_source_, next_front_);
-    auto kept = kept_.find(place);
-    int socket = -1;
-    if (kept != kept_.end()) {
-      socket = kept->second;
-      kept_.erase(kept);
-    } else {
-      socket = ConnectRaw(*Endpoint::Parse(fleet_.FrontAddress(next_front_)),
-                          kFirstSource + static_cast<uint32_t>(next_source_));
-    }
-    REQUIRE(socket >= 0);
-    std::string bytes = Framed(target, body);
-    REQUIRE(send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-            static_cast<ssize_t>(bytes.size()));
-    std::string answer = fleet_.ReadAnswer(socket, kAnswerTime);
-    bool is_whole = absl::StartsWith(answer, "HTTP/1.1 ");
-    if (is_whole && Pick(0, 1) == 0) {
-      kept_[place] = socket;
-    } else {
-      close(socket);
-    }
-    int status = 0;
-    if (is_whole) (void)absl::SimpleAtoi(answer.substr(9, 3), &status);
-    return status;
-  }
-
   CrashDeployment& fleet_;
   WorkClass work_;
   std::mt19937 random_;
@@ -160,5 +173,55 @@
   CHECK(sound == kLate);
 }
 
+// One server at a time, so that the sound lookup is at each that ends.
+TEST_CASE(
+    "a sound lookup that ran beside a crashing one is served again soon, and "
+    "its path is served all along",
+    "[front][crash][trial]") {
+  bool deadly_comes_again = GENERATE(false, true);
+  CAPTURE(deadly_comes_again);
+  WorkClass work = LookupClass();
+  CrashDeployment fleet(
+      [work](const HttpRequest& it) { return IsDeadly(work, it); }, work.target,
+      CrashMode::kClosed);
+  fleet.KeepServers(1);
+  Clients clients(fleet, work, 7);
+  const std::string shared = "/check/a?ms=300";
+  for (int it = 0; it < kMaxCrashes; ++it) {
+    auto beside = clients.Begin(shared);
+    fleet.RunFor(absl::Milliseconds(100));
+    clients.SendDeadly();
+    CHECK(clients.Finish(beside) != 200);
+    fleet.RunFor(kDownTime + absl::Milliseconds(300));
+  }
+  REQUIRE(fleet.Crashes() == kMaxCrashes);
+  // Until all fronts use the restarted server again.
+  fleet.RunFor(absl::Seconds(1));
+
+  int other_served = 0;
+  int refused = 0;
+  constexpr int kMost = 60;
+  for (int it = 0; it < kMost; ++it) {
+    if (deadly_comes_again) clients.SendDeadly();
+    int status = clients.Send(shared);
+    if (status == 200) break;
+    ++refused;
+    if (clients.SendSound() == 200) ++other_served;
+    fleet.RunFor(absl::Milliseconds(100));
+  }
+  CHECK(refused < kMost);
+  CHECK(fleet.Crashes() <= kMaxCrashes + (deadly_comes_again ? 1 : 0));
+  // All but those for which the only server was down once more.
+  CHECK(other_served >= refused - (deadly_comes_again ? 25 : 0));
+  fleet.RunFor(absl::Milliseconds(500));  // until all fronts have heard of it
+  int served = 0;
+  constexpr int kAfter = 12;
+  for (int it = 0; it < kAfter; ++it) {
+    if (clients.Send(shared) == 200) ++served;
+    CHECK(clients.SendDeadly() == 503);
+  }
+  CHECK(served == kAfter);
+}
+
 }  // namespace
 }  // namespace chervilwick
