Peers: a front is lost by its name, not by its address

Found by going through the identity table: what a front uses is kept by its name, but it is lost by the address of its datagrams. Where another front took over the address before the first one had been silent for 1.6 s, the use of the first counted against its engines for ever (streams refused or placed elsewhere); where a front came back at another address, the end of the old one took its use away until the next digest. Now a changed name at an address is a loss, and an address that falls silent is none while the name is alive elsewhere. Tests: both failed before (2 of 15 assertions).

--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -71,6 +71,8 @@
   void SendUpdate(const PeerDigest& state, absl::Time now);
   void Send(const std::string& bytes, const std::set<Endpoint>& targets);
   void ExpireSilentPeers(absl::Time now);
+  // No front of that name is at the address any more; it may be at another one.
+  void ReportLost(const std::string& name);
   void UpdateFleetTotals();
 
   FrontContext& context_;
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -153,8 +153,10 @@
   Peer& peer = it->second;
   bool restarted = peer.digest.incarnation != digest.incarnation;
   if (!is_new && !restarted && digest.sequence <= peer.digest.sequence) return;
+  std::string replaced = is_new ? digest.sender : peer.digest.sender;
   peer.digest = digest;
   peer.heard = context_.loop.Now();
+  if (replaced != digest.sender) ReportLost(replaced);
   unconfirmed_peers_.erase(from);
   for (const Endpoint& named : digest.peers) {
     if (named != self_ && live_peers_.count(named) == 0 &&
@@ -217,6 +219,13 @@
   context_.quota.SetFrontCount(AssumedFrontCount());
 }
 
+void PeerLink::ReportLost(const std::string& name) {
+  bool is_elsewhere = std::any_of(
+      live_peers_.begin(), live_peers_.end(),
+      [&](const auto& it) { return it.second.digest.sender == name; });
+  if (!is_elsewhere) listener_.on_lost(name);
+}
+
 void PeerLink::ExpireSilentPeers(absl::Time now) {
   // Datagrams may be lost while this process stands still: the silence of its
   // peers counts from the end of the pause.
@@ -230,11 +239,12 @@
     context_.log.Write(now, "peer_lost",
                        {{"peer", it->second.digest.sender},
                         {"silent_ms", now - it->second.heard}});
-    listener_.on_lost(it->second.digest.sender);
+    std::string name = it->second.digest.sender;
     if (unconfirmed_peers_.size() < kMaxUnconfirmedPeers) {
       unconfirmed_peers_.insert(it->first);
     }
     it = live_peers_.erase(it);
+    ReportLost(name);
     UpdateFleetTotals();
   }
 }
--- a/unittests/front/peers_test.cc
+++ b/unittests/front/peers_test.cc
@@ -111,7 +111,10 @@
         link(context,
              {[this] { return digest; },
               [this](const PeerDigest& it, const Endpoint&) { received = it; },
-              [this](const std::string&) { ++lost; }}) {
+              [this](const std::string& name) {
+                ++lost;
+                lost_names.push_back(name);
+              }}) {
     digest.sender = settings.name;
     REQUIRE(link.Start());
   }
@@ -122,9 +125,59 @@
   PeerDigest digest;    // state to send
   PeerDigest received;  // last digest received
   int lost = 0;         // peers
+  std::vector<std::string> lost_names;
   PeerLink link;
 };
 
+// A front with a loop of its own, so that it can end.
+struct EndingFront {
+  EndingFront(TestDeployment& deployment, const FrontSettings& settings)
+      : endpoint(deployment, settings, loop) {}
+
+  EventLoop loop;
+  LinkEndpoint endpoint;
+};
+
+void RunBoth(TestDeployment& deployment, EventLoop& other) {
+  for (int it = 0; it < 50; ++it) {
+    deployment.loop.RunFor(absl::Milliseconds(10));
+    other.RunFor(absl::Milliseconds(10));
+  }
+}
+
+// Fronts are known by name, but alive at an address, which another one may take
+// over before the first is found to be gone.
+TEST_CASE("a front whose address another one takes over is lost at once",
+          "[front][identity]") {
+  TestDeployment deployment;
+  LinkEndpoint local(deployment, deployment.settings);
+  FrontSettings settings = deployment.PeerSettings("front-2");
+  auto before = std::make_unique<EndingFront>(deployment, settings);
+  RunBoth(deployment, before->loop);
+  REQUIRE(local.received.sender == "front-2");
+  before.reset();
+  settings.name = "front-3";
+  EndingFront after(deployment, settings);
+  RunBoth(deployment, after.loop);
+  CHECK(local.received.sender == "front-3");
+  CHECK(local.lost_names == std::vector<std::string>{"front-2"});
+}
+
+TEST_CASE(
+    "a front that is back at another address is not lost with the old one",
+    "[front][identity]") {
+  TestDeployment deployment;
+  LinkEndpoint local(deployment, deployment.settings);
+  auto before = std::make_unique<EndingFront>(
+      deployment, deployment.PeerSettings("front-2"));
+  RunBoth(deployment, before->loop);
+  before.reset();
+  EndingFront after(deployment, deployment.PeerSettings("front-2", 2));
+  for (int it = 0; it < 4; ++it) RunBoth(deployment, after.loop);
+  CHECK(local.link.live_peer_count() == 1);
+  CHECK(local.lost_names.empty());
+}
+
 // Guards against detecting stage changes by their number, which is the same
 // when one engine's change ends as another's begins.
 TEST_CASE("each engine with a stage change is reported to the peer at once",
