--- a/unittests/front/crashing_request_sources_test.cc
+++ b/unittests/front/crashing_request_sources_test.cc
@@ -22,6 +22,9 @@
 constexpr int kSources = 12;
 constexpr char kDeadlyBody[] = "deadly";
 constexpr absl::Duration kAnswerTime = absl::Seconds(4);
+constexpr int kLate = 8;    // requests once all fronts know of the crashes
+constexpr int kMost = 60;   // requests until a sound one is cleared
+constexpr int kAfter = 12;  // and after that
 
 struct WorkClass {
   std::string name;
@@ -163,7 +166,6 @@
 
   int crashes = fleet.Crashes();
   int sound = 0;
-  constexpr int kLate = 8;
   for (int it = 0; it < kLate; ++it) {
     CHECK(clients.SendDeadly() == 503);
     fleet.RunFor(absl::Milliseconds(clients.Pick(0, 300)));
@@ -200,7 +202,6 @@
 
   int other_served = 0;
   int refused = 0;
-  constexpr int kMost = 60;
   for (int it = 0; it < kMost; ++it) {
     if (deadly_comes_again) clients.SendDeadly();
     int status = clients.Send(shared);
@@ -215,7 +216,6 @@
   CHECK(other_served >= refused - (deadly_comes_again ? 25 : 0));
   fleet.RunFor(absl::Milliseconds(500));  // until all fronts have heard of it
   int served = 0;
-  constexpr int kAfter = 12;
   for (int it = 0; it < kAfter; ++it) {
     if (clients.Send(shared) == 200) ++served;
     CHECK(clients.SendDeadly() == 503);
