--- a/unittests/front/crash_deployment.h
+++ b/unittests/front/crash_deployment.h
@@ -133,6 +133,12 @@
     return *answer;
   }
 
+  // Whether the other side has closed the connection.
+  static bool IsClosed(int socket) {
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   // Runs the fronts until a whole answer has arrived, the connection is closed
   // or the time is over. Returns what has arrived.
   std::string ReadAnswer(int socket, absl::Duration time) {
@@ -215,11 +221,6 @@
     return answer.size() >= head + 4 + length;
   }
 
-  static bool IsClosed(int socket) {
-    char byte = 0;
-    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-  }
-
   std::unique_ptr<Peer> MakePeer(int number, bool is_isolated = false) {
     FrontSettings settings =
         setup_.PeerSettings(absl::StrCat("front-", number + 1), number);
