Review case 6: fronts whose seeds are down send a deadly request on

Cause: fronts find each other through the seeds alone, and a front's first crash of a request is told to the others by datagrams only.

--- a/review/lib-2/stand.py
+++ b/review/lib-2/stand.py
@@ -249,6 +249,18 @@
         await self.listen(self.address, **options)
         self.bed.store.put("servers/" + self.name, self.entry())
 
+    def crash(self):
+        self.record(f"{self.name}: crashes")
+        self.end()
+        # The runs end with the process; their channels are gone.
+        self.places, self.running, self.queued = asyncio.Semaphore(self.slots), 0, 0
+
+    async def restart(self):
+        """A new lifetime under the same id and address."""
+        self.born = int(time.time() * 1000)
+        await self.start()
+        self.record(f"{self.name}: is back")
+
     def drain(self):
         self.state = "draining"
         self.bed.store.put("servers/" + self.name, self.entry())
@@ -321,8 +333,8 @@
 
         def at(kind):
             return f"{self.ip}:{ports[kind]}"
-        return {"node": self.name, "zone": "kigali-a", "ip": self.ip, "seeds": [
-                    f"{it.ip}:{ports['control']}" for it in self.bed.fronts[:3]],
+        seeds = self.bed.seeds or [f"{it.ip}:{ports['control']}" for it in self.bed.fronts[:3]]
+        return {"node": self.name, "zone": "kigali-a", "ip": self.ip, "seeds": seeds,
                 "port_range": [ports["peers"], ports["peers"] + 1],
                 "listen": {it: at(it) for it in ("front", "ready", "control")},
                 "limits": {"memory_mb": self.memory_mb, "max_fds": 4100},
@@ -405,6 +417,7 @@
         self.last_ip = 0
         self.fronts, self.engines, self.tasks = [], [], []
         self.shown_events = set()  # of the fronts' logs, for the record
+        self.seeds = []  # in place of the first fronts
         ports = random.sample(range(20000, 30000, 2), 5)
         self.ports = dict(zip(("front", "ready", "control", "peers"), ports))
         self.store = Store(self.record)
