--- a/review/lib-2/stand.py
+++ b/review/lib-2/stand.py
@@ -310,8 +310,11 @@
                 self.running -= 1
 
     async def control(self, method, target, headers, body, writer):
+        """Orders, reservations, and what is given back."""
         status = 202 if target == "/chervilwick/order" else 200
-        writer.write(encode(f"HTTP/1.1 {status} x", self.fields(headers), b"{}"))
+        answer = {"hold": os.urandom(6).hex()} if target == "/chervilwick/hold-take" else {}
+        writer.write(encode(f"HTTP/1.1 {status} x", self.fields(headers),
+                            json.dumps(answer).encode()))
         return False
 
 
@@ -338,7 +341,7 @@
                 "port_range": [ports["peers"], ports["peers"] + 1],
                 "listen": {it: at(it) for it in ("front", "ready", "control")},
                 "limits": {"memory_mb": self.memory_mb, "max_fds": 4100},
-                "bounds": BOUNDS,
+                "bounds": {**BOUNDS, **self.bed.bounds},
                 "platform": {"addr": "%s:%d" % self.bed.store_address}}
 
     async def start(self):
@@ -418,6 +421,7 @@
         self.fronts, self.engines, self.tasks = [], [], []
         self.shown_events = set()  # of the fronts' logs, for the record
         self.seeds = []  # in place of the first fronts
+        self.bounds = {}  # in place of those of BOUNDS
         ports = random.sample(range(20000, 30000, 2), 5)
         self.ports = dict(zip(("front", "ready", "control", "peers"), ports))
         self.store = Store(self.record)
@@ -437,9 +441,12 @@
         self.tasks.append(task)
         return task
 
-    def put_config(self, routes, services, version=7):
+    def put_config(self, routes, services, version=7, tenants=None):
         config = {"version": version, "routes": routes, "services": services, "limits": LIMITS}
+        if tenants is not None:
+            config["tenants"] = tenants
         self.store.put("op/config", json.dumps(config).encode())
+        self.record(f"operator: the store has accepted version {version}")
 
     async def start(self, fronts=1, **options):
         await self.store.listen(self.store_address)
