Answer cut by a reset during an upload counted as complete

What callers saw: an engine answered a long upload at once with a 200 that had neither a length nor chunks, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer. Cause: the write that meets the reset takes the error of the socket, so the next read sees an end in order. Both happen in one turn of the loop, and bufferevents with deferred callbacks report them in one event, as ERROR and EOF. Connection::OnState looked at EOF alone, and the error that the check before the end would have found was gone. Change: an event that holds an error is not an end in order. A reset that meets no write was seen before and is still. Answers without a length that end in order during an upload were whole before and are.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -182,7 +182,10 @@
       self.OnConnected();
       return;
     }
-    self.OnClosed((what & BEV_EVENT_EOF) != 0);
+    // A write that meets a reset clears the error of the socket, so the read
+    // that is reported with it sees an end in order.
+    bool has_failed = (what & BEV_EVENT_ERROR) != 0;
+    self.OnClosed(!has_failed && (what & BEV_EVENT_EOF) != 0);
   }
 
   void OnConnected() {
--- a/unittests/common/scripted_peer.cc
+++ b/unittests/common/scripted_peer.cc
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr int kPollMs = 5;
-constexpr useconds_t kResetDelayUs = 3000;
 constexpr size_t kMaxHeadBytes = size_t{16} << 10;
 
 }  // namespace
@@ -28,12 +27,19 @@
                       if (it != nullptr) head = std::move(*it);
                     }};
   std::string previous;
+  bool is_answered = false;  // the request that is being read
+  bool is_read = true;
 };
 
-ScriptedPeer::ScriptedPeer(Script script)
+ScriptedPeer::ScriptedPeer(Script script, Options options)
     : script_(std::move(script)),
+      options_(options),
       endpoint_(FreeEndpoint()),
       listener_(ListenTcp(endpoint_)) {
+  if (options_.receive_buffer_bytes > 0) {
+    setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &options_.receive_buffer_bytes,
+               sizeof(options_.receive_buffer_bytes));
+  }
   thread_ = std::thread([this] { Serve(); });
 }
 
@@ -43,7 +49,9 @@
       listener_ = ListenTcp(endpoint_);
     }
     std::vector<pollfd> polled = {{listener_, POLLIN, 0}};
-    for (const auto& it : open_) polled.push_back({it.first, POLLIN, 0});
+    for (const auto& it : open_) {
+      if (it.second->is_read) polled.push_back({it.first, POLLIN, 0});
+    }
     if (poll(polled.data(), polled.size(), kPollMs) <= 0) continue;
     for (size_t n = 1; n < polled.size(); ++n) {
       int socket = polled[n].fd;
@@ -99,34 +107,51 @@
   while (!bytes.empty()) {
     bytes.remove_prefix(connection.reader.Feed(bytes));
     if (connection.reader.error() != HttpReadError::kNone) return false;
-    if (!connection.reader.IsDone()) continue;
-    connection.reader.Reset();
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      requests_.push_back(connection.head);
-    }
-    Reply reply = script_(connection.head, connection.previous);
-    greeting_ = reply.greeting;
-    std::string sent = reply.extra + reply.bytes;
-    send(socket, sent.data(), sent.size(), MSG_NOSIGNAL);
-    if (reply.resets) {
-      // A reset discards what the other side has not read yet.
-      usleep(kResetDelayUs);
-      linger reset{1, 0};
-      setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    bool is_due = connection.reader.IsDone() ||
+                  (options_.answers_heads && !connection.reader.IsInHead());
+    if (is_due && !std::exchange(connection.is_answered, true) &&
+        !Answer(socket, connection)) {
       return false;
     }
-    if (reply.crashes) {
-      Crash(reply);
-      for (auto it = open_.begin(); it != open_.end();) {
-        if (it->first != socket) close(it->first);
-        it = it->first == socket ? std::next(it) : open_.erase(it);
-      }
-      return false;
+    if (connection.reader.IsDone()) {
+      connection.reader.Reset();
+      connection.is_answered = false;
+    }
+  }
+  return true;
+}
+
+bool ScriptedPeer::Answer(int socket, Connection& connection) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    requests_.push_back(connection.head);
+  }
+  Reply reply = script_(connection.head, connection.previous);
+  greeting_ = reply.greeting;
+  std::string sent = reply.extra + reply.bytes;
+  send(socket, sent.data(), sent.size(), MSG_NOSIGNAL);
+  if (reply.half_closes) shutdown(socket, SHUT_WR);
+  if (reply.shuts_down) {
+    shutdown(socket, SHUT_RDWR);
+    connection.is_read = false;
+  }
+  if (reply.resets) {
+    // A reset discards what the other side has not read yet.
+    std::this_thread::sleep_for(reply.reset_delay);
+    linger reset{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    return false;
+  }
+  if (reply.crashes) {
+    Crash(reply);
+    for (auto it = open_.begin(); it != open_.end();) {
+      if (it->first != socket) close(it->first);
+      it = it->first == socket ? std::next(it) : open_.erase(it);
     }
-    if (reply.closes) return false;
-    connection.previous = std::move(reply.bytes);
+    return false;
   }
+  if (reply.closes) return false;
+  connection.previous = std::move(reply.bytes);
   return true;
 }
 
--- a/unittests/common/scripted_peer.h
+++ b/unittests/common/scripted_peer.h
@@ -27,6 +27,10 @@
     std::string bytes;
     bool closes = false;  // after the bytes
     bool resets = false;  // the connection, after the bytes have arrived
+    std::chrono::milliseconds reset_delay{3};
+    bool half_closes = false;  // after the bytes; the request is read on
+    // Both directions after the bytes; nothing more is read.
+    bool shuts_down = false;
     // The process ends after the bytes: connections are closed as its kernel
     // would close them, and new ones are refused until it runs again.
     bool crashes = false;
@@ -42,7 +46,14 @@
   using Script = std::function<Reply(const HttpHead& request,
                                      const std::string& previous)>;
 
-  explicit ScriptedPeer(Script script);
+  struct Options {
+    // Answers before the body of the request is read.
+    bool answers_heads = false;
+    int receive_buffer_bytes = 0;  // of each connection; 0 for the default
+  };
+
+  explicit ScriptedPeer(Script script) : ScriptedPeer(std::move(script), {}) {}
+  ScriptedPeer(Script script, Options options);
   ~ScriptedPeer();
 
   const Endpoint& endpoint() const { return endpoint_; }
@@ -56,10 +67,12 @@
   void Serve();
   void Crash(const Reply& reply);
   void Accept();
-  // Returns whether the connection stays open.
+  // These return whether the connection stays open.
   bool Read(int socket, Connection& connection);
+  bool Answer(int socket, Connection& connection);
 
   Script script_;
+  Options options_;
   Endpoint endpoint_;
   int listener_;
   std::chrono::steady_clock::time_point up_at_;  // after a crash
