Early answer lost in a busy process when its server resets an upload

What callers saw: 502 in place of the answer with which a server rejected a long upload, where the answer takes several reads and the caller's process is busy. Cause: a failed write ended the call at once, with the rest of the answer still in the socket. Change: a call whose write has failed first reads what had arrived. An answer whose framing is complete ends the call; any other is broken off.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -45,6 +45,8 @@
 // The connections that one end of a server closes are noticed within that time.
 constexpr absl::Duration kSameEndTime = absl::Milliseconds(100);
 constexpr absl::Duration kEndRetention = absl::Seconds(1);
+// Bytes of an answer that are read at once after a write has failed.
+constexpr int kReadBytes = 16 << 10;
 // Kept connections to one server.
 constexpr size_t kMaxKeptPerServer = 32;
 
@@ -185,7 +187,10 @@
     // A write that meets a reset clears the error of the socket, so the read
     // that is reported with it sees an end in order.
     bool has_failed = (what & BEV_EVENT_ERROR) != 0;
-    self.OnClosed(!has_failed && (what & BEV_EVENT_EOF) != 0);
+    if (has_failed) self.ReadRest();
+    if (!self.removed_) {
+      self.OnClosed(!has_failed && (what & BEV_EVENT_EOF) != 0);
+    }
   }
 
   void OnConnected() {
@@ -267,6 +272,20 @@
     }
   }
 
+  // Reads what had arrived before a write failed: a server that rejects an
+  // upload may reset the connection after its answer.
+  void ReadRest() {
+    evbuffer* input = bufferevent_get_input(buffers_);
+    CallId call = call_;
+    while (!removed_ && call_ == call) {
+      evbuffer_unfreeze(input, /*at_front=*/0);
+      int n = evbuffer_read(input, bufferevent_getfd(buffers_), kReadBytes);
+      evbuffer_freeze(input, /*at_front=*/0);
+      if (n <= 0) return;
+      ReadAnswer();
+    }
+  }
+
   void OnEvent(HttpReadEvent event) {
     // The handler may have cancelled the call at an earlier event of the same
     // bytes.
--- a/unittests/net/early_answer_test.cc
+++ b/unittests/net/early_answer_test.cc
@@ -136,6 +136,34 @@
   }
 }
 
+TEST_CASE("answer whose framing is complete is whole although a reset follows",
+          "[net][early]") {
+  // The longer one takes several reads.
+  for (size_t size : {size_t{9}, size_t{60000}}) {
+    const std::string body(size, 'b');
+    for (const std::string& framed :
+         {absl::StrCat("Content-Length: ", size, "\r\n\r\n", body),
+          absl::StrCat("Transfer-Encoding: chunked\r\n\r\n", EncodeChunk(body),
+                       "0\r\n\r\n")}) {
+      EarlyServer server([&] {
+        Reply reply("HTTP/1.1 413 Content Too Large\r\n" + framed);
+        reply.resets = true;
+        return reply;
+      });
+      for (absl::Duration pause :
+           {absl::ZeroDuration(), absl::Milliseconds(5)}) {
+        INFO(framed.substr(0, 30) << ", pauses of " << pause);
+        for (int n = 0; n < kTries; ++n) {
+          Seen seen = server.Upload(size_t{4} << 20, pause);
+          CHECK(seen.has_ended);
+          CHECK(seen.status == 413);
+          CHECK(seen.body.size() == size);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("answer whose framing is incomplete fails if a reset follows",
           "[net][early]") {
   EarlyServer server([] {
