Answer with a malformed status line reached clients

What callers saw: an engine in trouble sent an answer whose status was 000. The client got its body as a complete answer. The same with other numbers below 100, one or two digits and 101; a complete 200 for 0200, two blanks before the status, control bytes in the reason, and HTTP/0.9 or HTTP/2.0. Cause: HttpReader checked field lines itself, but left the status line to http-parser, which accepts more than the grammar. A status below 200 is taken for an interim head, which isn't reported, while its body was. Change: the status line is checked against RFC 9112, 4, before the head is parsed: HTTP/1, three digits from 100 to 599, a reason of text. As no request offers an upgrade, 101 is refused too. Any reason that the grammar allows is read, and the missing space before an empty one, as RFC 9112 permits. What isn't in the grammar is a malformed answer, which callers handle already.

--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -6,12 +6,14 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "chervilwick/net/http_syntax.h"
 
 namespace chervilwick {
 namespace {
@@ -21,17 +23,6 @@
 constexpr absl::string_view kHeadEnd = "\r\n\r\n";
 // Interim heads before a response; more are a peer that never ends.
 constexpr uint32_t kMaxInterimHeads = 8;
-// RFC 9110, 5.6.2: characters of a token besides letters and digits.
-constexpr absl::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
-
-bool IsTokenChar(char c) {
-  return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
-         kTokenSigns.find(c) != absl::string_view::npos;
-}
-
-bool IsFieldChar(char c) {
-  return c == '\t' || !absl::ascii_iscntrl(static_cast<unsigned char>(c));
-}
 
 struct LengthFields {
   int lengths = 0;
@@ -40,27 +31,27 @@
 
 // Checks one field line and counts those that say where the body ends.
 bool IsValidField(absl::string_view line, LengthFields& lengths) {
-  size_t colon = line.find(':');
-  if (colon == absl::string_view::npos || colon == 0) return false;
-  absl::string_view name = line.substr(0, colon);
-  absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
-  if (!std::all_of(name.begin(), name.end(), IsTokenChar)) return false;
-  if (!std::all_of(value.begin(), value.end(), IsFieldChar)) return false;
-  if (absl::EqualsIgnoreCase(name, "Content-Length")) {
+  std::optional<FieldLine> field = ParseFieldLine(line);
+  if (!field) return false;
+  if (absl::EqualsIgnoreCase(field->name, "Content-Length")) {
     ++lengths.lengths;
-    return !value.empty() &&
-           std::all_of(value.begin(), value.end(), absl::ascii_isdigit);
+    return !field->value.empty() &&
+           std::all_of(field->value.begin(), field->value.end(),
+                       absl::ascii_isdigit);
   }
-  if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
+  if (absl::EqualsIgnoreCase(field->name, "Transfer-Encoding")) {
     ++lengths.encodings;
-    return absl::EqualsIgnoreCase(value, "chunked");
+    return absl::EqualsIgnoreCase(field->value, "chunked");
   }
   return true;
 }
 
-bool IsValidHead(absl::string_view head) {
+bool IsValidHead(absl::string_view head, HttpReader::Role role) {
   head.remove_suffix(kHeadEnd.size());
   std::vector<absl::string_view> lines = absl::StrSplit(head, kLineEnd);
+  if (role == HttpReader::Role::kResponse && !IsStatusLine(lines[0])) {
+    return false;
+  }
   LengthFields lengths;
   for (size_t it = 0; it < lines.size(); ++it) {
     bool has_bare_end =
@@ -220,7 +211,7 @@
 }
 
 void HttpReader::ParseHead() {
-  if (!IsValidHead(head_bytes_)) {
+  if (!IsValidHead(head_bytes_, role_)) {
     Fail(HttpReadError::kMalformed);
     return;
   }
--- /dev/null
+++ b/unittests/net/odd_answers_test.cc
@@ -0,0 +1,156 @@
+// Answers that are malformed, and unusual ones that are not.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "chervilwick/net/http_message.h"
+#include "chervilwick/support/overloaded.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr char kFramed[] = "Content-Length: 2\r\n\r\nok";
+constexpr size_t kMaxHeadBytes = 4096;
+
+// What a reader makes of some bytes and the end of the connection.
+struct Read {
+  int heads = 0;
+  HttpHead head;
+  std::string body;
+  int ends = 0;
+  bool is_done = false;  // before the connection ended
+  HttpReadError error = HttpReadError::kNone;
+  size_t taken = 0;
+};
+
+// `step`: bytes that are fed at once.
+Read ReadAnswer(const std::string& bytes, size_t step,
+                bool answers_head_request = false) {
+  Read read;
+  HttpReader reader(HttpReader::Role::kResponse, kMaxHeadBytes,
+                    [&](HttpReadEvent event) {
+                      std::visit(Overloaded{
+                                     [&](HttpHead& it) {
+                                       ++read.heads;
+                                       read.head = std::move(it);
+                                     },
+                                     [&](HttpBodyPart& it) {
+                                       absl::StrAppend(&read.body, it.bytes);
+                                     },
+                                     [&](HttpEnd&) { ++read.ends; },
+                                 },
+                                 event);
+                    });
+  reader.Reset(answers_head_request);
+  for (size_t at = 0; at < bytes.size() && !reader.IsDone() &&
+                      reader.error() == HttpReadError::kNone;
+       at += step) {
+    read.taken += reader.Feed(absl::string_view(bytes).substr(at, step));
+  }
+  read.is_done = reader.IsDone();
+  reader.FeedEnd();
+  read.error = reader.error();
+  return read;
+}
+
+std::vector<size_t> Steps(const std::string& bytes) {
+  return {1, 7, bytes.size()};
+}
+
+TEST_CASE("answer with a malformed status line is no answer", "[net][odd]") {
+  for (const std::string& line :
+       std::vector<std::string>{"HTTP/1.1 000 Trouble",
+                                "HTTP/1.1 001 Trouble",
+                                "HTTP/1.1 099 Trouble",
+                                "HTTP/1.1 20 OK",
+                                "HTTP/1.1 2 OK",
+                                "HTTP/1.1 0 OK",
+                                "HTTP/1.1 0200 OK",
+                                "HTTP/1.1 2000 OK",
+                                "HTTP/1.1 600 Trouble",
+                                "HTTP/1.1 999 Trouble",
+                                "HTTP/1.1 -20 OK",
+                                "HTTP/1.1 +20 OK",
+                                "HTTP/1.1 2x0 OK",
+                                "HTTP/1.1 200OK",
+                                "HTTP/1.1  200 OK",
+                                "HTTP/1.1 200\tOK",
+                                "HTTP/1.1\t200 OK",
+                                "HTTP/1.1 200 O\x01K",
+                                "HTTP/1.1 200 O\x7fK",
+                                std::string("HTTP/1.1 200 O\0K", 16),
+                                "HTTP/1.1 200 O\rK",
+                                "HTTP/1.1",
+                                "HTTP/1.1 ",
+                                "HTTP/1.1 OK",
+                                "HTTP/1 200 OK",
+                                "HTTP/1.x 200 OK",
+                                "HTTP/1.10 200 OK",
+                                "HTTP/2.0 200 OK",
+                                "HTTP/0.9 200 OK",
+                                "http/1.1 200 OK",
+                                " HTTP/1.1 200 OK",
+                                "\r\nHTTP/1.1 200 OK",
+                                "200 OK",
+                                ""}) {
+    std::string bytes = absl::StrCat(line, "\r\n", kFramed);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(line) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.error == HttpReadError::kMalformed);
+      CHECK(read.heads == 0);
+      CHECK(read.body.empty());
+      CHECK(read.ends == 0);
+    }
+  }
+}
+
+TEST_CASE("answer with an unusual status line is read", "[net][odd]") {
+  struct Case {
+    std::string line;
+    int status;
+  };
+  for (const Case& it : std::vector<Case>{{"HTTP/1.1 200 OK", 200},
+                                          {"HTTP/1.1 200 ", 200},
+                                          {"HTTP/1.1 200", 200},
+                                          {"HTTP/1.1 200  spaced  ", 200},
+                                          {"HTTP/1.1 200 a\tb", 200},
+                                          {"HTTP/1.1 200 \xc3\xa9t\xe9", 200},
+                                          {"HTTP/1.1 200 404 Not Found", 200},
+                                          {"HTTP/1.0 200 OK", 200},
+                                          {"HTTP/1.2 200 OK", 200},
+                                          {"HTTP/1.1 299 Odd", 299},
+                                          {"HTTP/1.1 399 Odd", 399},
+                                          {"HTTP/1.1 499 Odd", 499},
+                                          {"HTTP/1.1 599 Odd", 599}}) {
+    std::string bytes = absl::StrCat(it.line, "\r\n", kFramed);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(it.line) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.head.status == it.status);
+      CHECK(read.body == "ok");
+      CHECK(read.is_done);
+    }
+  }
+}
+
+// What follows is of another protocol; no request offers one.
+TEST_CASE("switch of protocols is no answer", "[net][odd]") {
+  for (const char* fields : {"", "Connection: upgrade\r\nUpgrade: x\r\n"}) {
+    std::string bytes =
+        absl::StrCat("HTTP/1.1 101 Switching Protocols\r\n", fields,
+                     "\r\nHTTP/1.1 200 OK\r\n", kFramed);
+    for (size_t step : Steps(bytes)) {
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.error == HttpReadError::kMalformed);
+      CHECK(read.heads == 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chervilwick
