Control byte at the edge of a field's value passed for blank space

What callers saw: nothing yet; found by the table of malformed field lines. An answer with a vertical tab or a form feed before a field's value was read, and the value passed on with it. Cause: a value was stripped of all that ASCII calls white space before it was checked; the grammar has blanks and tabs only. Change: blanks and tabs alone are stripped. Blanks and control bytes in names, lines without a colon and the rest were refused before; their cases stay as tests.

--- a/lib/net/http_syntax.cc
+++ b/lib/net/http_syntax.cc
@@ -14,6 +14,7 @@
 
 // RFC 9110, 5.6.2: characters of a token besides letters and digits.
 constexpr absl::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
+constexpr absl::string_view kWhitespace = " \t";
 constexpr absl::string_view kVersion = "HTTP/1.";
 constexpr size_t kStatusDigits = 3;
 constexpr int kSwitchingProtocols = 101;
@@ -33,13 +34,19 @@
   return std::all_of(text.begin(), text.end(), IsTextChar);
 }
 
+absl::string_view StripWhitespace(absl::string_view text) {
+  size_t begin = text.find_first_not_of(kWhitespace);
+  if (begin == absl::string_view::npos) return "";
+  return text.substr(begin, text.find_last_not_of(kWhitespace) - begin + 1);
+}
+
 }  // namespace
 
 std::optional<FieldLine> ParseFieldLine(absl::string_view line) {
   size_t colon = line.find(':');
   if (colon == absl::string_view::npos || colon == 0) return std::nullopt;
   FieldLine field{line.substr(0, colon),
-                  absl::StripAsciiWhitespace(line.substr(colon + 1))};
+                  StripWhitespace(line.substr(colon + 1))};
   bool is_valid =
       std::all_of(field.name.begin(), field.name.end(), IsTokenChar) &&
       IsText(field.value);
--- a/unittests/net/odd_answers_test.cc
+++ b/unittests/net/odd_answers_test.cc
@@ -138,6 +138,60 @@
   }
 }
 
+TEST_CASE("answer with a malformed field line is no answer", "[net][odd]") {
+  for (const std::string& line :
+       std::vector<std::string>{"X y: 1",
+                                "X\ty: 1",
+                                "X : 1",
+                                "X\t: 1",
+                                " X: 1",
+                                "\tX: 1",
+                                ": 1",
+                                "X",
+                                "X\x01: 1",
+                                "X\x7f: 1",
+                                std::string("X\0: 1", 5),
+                                "X\xe9: 1",
+                                "X(: 1",
+                                "X: a\x01",
+                                "X: a\x7f",
+                                std::string("X: a\0b", 6),
+                                "X: a\x0b",
+                                "X: a\x0c",
+                                "X:\x0b"
+                                "a",
+                                "X:\x0c"
+                                "a",
+                                "X: a\rb",
+                                "X: a\nb"}) {
+    std::string bytes =
+        absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n", kFramed);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(line) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.error == HttpReadError::kMalformed);
+      CHECK(read.heads == 0);
+      CHECK(read.body.empty());
+      CHECK(read.ends == 0);
+    }
+  }
+}
+
+TEST_CASE("answer with an unusual field line is read", "[net][odd]") {
+  for (const char* line : {"!#$%&'*+-.^_`|~09aZ: 1", "X:", "X: ", "X:1",
+                           "X: \t 1 \t ", "X: a\tb  c", "X: \xc3\xa9 \xff"}) {
+    std::string bytes =
+        absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n", kFramed);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(line) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.head.status == 200);
+      CHECK(read.body == "ok");
+      CHECK(read.is_done);
+    }
+  }
+}
+
 // What follows is of another protocol; no request offers one.
 TEST_CASE("switch of protocols is no answer", "[net][odd]") {
   for (const char* fields : {"", "Connection: upgrade\r\nUpgrade: x\r\n"}) {
