Body of an answer that may have none was read as one

What callers saw: the body of an interim head with a length or chunks was passed on as an answer without a head; a 304 that states the length of what it leaves out was waited for and broken off, though RFC 9110 allows it. Cause: the end of such heads was left to http-parser, which follows their length fields. RFC 9112, 6.3: 1xx, 204 and 304 end with their head. Change: HttpReader ends them there. Bytes that can't begin a head are refused at once, not when the call's time is over. A 204 that announces a body closes its connection, as the body may come where the next answer is due. Interim heads without length fields, and answers to HEAD, are read before and now.

--- a/include/chervilwick/net/http_message.h
+++ b/include/chervilwick/net/http_message.h
@@ -100,6 +100,8 @@
   void Fail(HttpReadError error) { error_ = error; }
   void FinishHead();
   bool IsInterim() const;
+  // Whether the message ends with its head, whatever its fields say.
+  bool HasNoBody() const;
 
   Role role_;
   size_t max_head_bytes_;
--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -21,6 +21,9 @@
 constexpr size_t kKeptHeadBytes = size_t{2} << 10;
 constexpr absl::string_view kLineEnd = "\r\n";
 constexpr absl::string_view kHeadEnd = "\r\n\r\n";
+constexpr absl::string_view kResponseBegin = "HTTP/";
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 // Interim heads before a response; more are a peer that never ends.
 constexpr uint32_t kMaxInterimHeads = 8;
 
@@ -70,16 +73,24 @@
   return out;
 }
 
+// RFC 9112, 6.3: these end with their head, whatever its fields say.
+bool EndsWithHead(int status) {
+  return status < 200 || status == kNoContent || status == kNotModified;
+}
+
+bool AnnouncesBody(const http_parser& parser) {
+  return (parser.flags & F_CHUNKED) != 0 ||
+         (parser.content_length != UINT64_MAX && parser.content_length > 0);
+}
+
 // Whether the body has no length and so ends with the connection.
 bool NeedsConnectionEnd(const http_parser& parser) {
-  if (parser.status_code < 200 || parser.status_code == 204 ||
-      parser.status_code == 304) {
-    return false;
-  }
   return (parser.flags & F_CHUNKED) == 0 && parser.content_length == UINT64_MAX;
 }
 
-bool MayHaveBody(int status) { return status != 204 && status != 304; }
+bool MayHaveBody(int status) {
+  return status != kNoContent && status != kNotModified;
+}
 
 std::string StatusLine(int status) {
   const char* reason = http_status_str(static_cast<http_status>(status));
@@ -123,7 +134,7 @@
   static int OnHeadEnd(http_parser* parser) {
     HttpReader& self = Self(parser);
     self.FinishHead();
-    return self.response_to_head_ ? 1 : 0;
+    return self.HasNoBody() ? 1 : 0;
   }
   static int OnBody(http_parser* parser, const char* at, size_t n) {
     Self(parser).sink_(HttpBodyPart{absl::string_view(at, n)});
@@ -195,6 +206,14 @@
   }
   size_t before = head_bytes_.size();
   absl::StrAppend(&head_bytes_, bytes.substr(taken));
+  // Other bytes, such as a body after an interim head, need not wait for an
+  // end.
+  if (role_ == Role::kResponse &&
+      !absl::StartsWith(kResponseBegin,
+                        head_bytes_.substr(0, kResponseBegin.size()))) {
+    Fail(HttpReadError::kMalformed);
+    return bytes.size();
+  }
   size_t search = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
   size_t end = head_bytes_.find(kHeadEnd.data(), search);
   size_t size =
@@ -238,6 +257,12 @@
   return role_ == Role::kResponse && parser_->status_code < 200;
 }
 
+bool HttpReader::HasNoBody() const {
+  return role_ == Role::kResponse &&
+         (response_to_head_ ||
+          EndsWithHead(static_cast<int>(parser_->status_code)));
+}
+
 void HttpReader::FinishHead() {
   head_parsed_ = true;
   head_.keep_alive = http_should_keep_alive(parser_.get()) != 0;
@@ -245,8 +270,11 @@
     head_.method = http_method_str(static_cast<http_method>(parser_->method));
   } else {
     head_.status = static_cast<int>(parser_->status_code);
-    head_.ends_with_connection =
-        !response_to_head_ && NeedsConnectionEnd(*parser_);
+    head_.ends_with_connection = !HasNoBody() && NeedsConnectionEnd(*parser_);
+    // A body that may not follow would be read as the next answer.
+    if (parser_->status_code == kNoContent && AnnouncesBody(*parser_)) {
+      head_.keep_alive = false;
+    }
   }
   if (!IsInterim()) sink_(std::move(head_));
 }
--- a/unittests/net/odd_answers_test.cc
+++ b/unittests/net/odd_answers_test.cc
@@ -192,6 +192,80 @@
   }
 }
 
+// Their bytes would be taken for a body without a head, or be waited for.
+TEST_CASE("answer that may not have a body ends with its head", "[net][odd]") {
+  for (const char* fields :
+       {"", "Content-Length: 0\r\n", "Content-Length: 9\r\n",
+        "Transfer-Encoding: chunked\r\n"}) {
+    for (int status : {204, 304}) {
+      INFO(status << " " << fields);
+      std::string head =
+          absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields, "\r\n");
+      Read read = ReadAnswer(head + "bytes", head.size() + 5);
+      CHECK(read.heads == 1);
+      CHECK(read.head.status == status);
+      CHECK(read.is_done);
+      CHECK(read.body.empty());
+      CHECK(read.taken == head.size());
+      CHECK_FALSE(read.head.ends_with_connection);
+    }
+    INFO(fields);
+    std::string head = absl::StrCat("HTTP/1.1 200 OK\r\n", fields, "\r\n");
+    Read read = ReadAnswer(head, head.size(), /*answers_head_request=*/true);
+    CHECK(read.is_done);
+    CHECK(read.head.status == 200);
+  }
+}
+
+TEST_CASE("connection is not kept after a 204 that announces a body",
+          "[net][odd]") {
+  for (const char* fields :
+       {"Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    std::string head = absl::StrCat("HTTP/1.1 204 X\r\n", fields, "\r\n");
+    CHECK_FALSE(ReadAnswer(head, head.size()).head.keep_alive);
+  }
+  CHECK(ReadAnswer("HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n", 99)
+            .head.keep_alive);
+}
+
+TEST_CASE("interim heads before an answer are skipped", "[net][odd]") {
+  for (const char* fields : {"", "X: 1\r\n", "Content-Length: 9\r\n",
+                             "Transfer-Encoding: chunked\r\n"}) {
+    for (int status : {100, 102, 103, 199}) {
+      std::string interim =
+          absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields, "\r\n");
+      std::string bytes =
+          absl::StrCat(interim, interim, "HTTP/1.1 200 OK\r\n", kFramed);
+      for (size_t step : Steps(bytes)) {
+        INFO(status << " " << fields << " in steps of " << step);
+        Read read = ReadAnswer(bytes, step);
+        CHECK(read.heads == 1);
+        CHECK(read.head.status == 200);
+        CHECK(read.body == "ok");
+        CHECK(read.is_done);
+      }
+    }
+  }
+}
+
+TEST_CASE("body after an interim head is no answer", "[net][odd]") {
+  for (const char* fields :
+       {"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    for (int status : {100, 101, 103, 199}) {
+      std::string bytes =
+          absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields, "\r\nok");
+      for (size_t step : Steps(bytes)) {
+        INFO(status << " " << fields << " in steps of " << step);
+        Read read = ReadAnswer(bytes, step);
+        CHECK(read.error == HttpReadError::kMalformed);
+        CHECK(read.heads == 0);
+        CHECK(read.body.empty());
+        CHECK(read.ends == 0);
+      }
+    }
+  }
+}
+
 // What follows is of another protocol; no request offers one.
 TEST_CASE("switch of protocols is no answer", "[net][odd]") {
   for (const char* fields : {"", "Connection: upgrade\r\nUpgrade: x\r\n"}) {
