Answer with malformed chunks or trailers counted as complete

Bytes between a chunk and its line end, any byte in place of a line feed, extensions without a semicolon, and trailer lines that are no fields were passed over, and the answer was complete. Cause: http-parser, as it is packaged, is built without its strict checks. Change: ChunkDecoder reads chunked bodies by the grammar of RFC 9112, 7.1. Extensions and trailers that it allows are read and dropped, with tabs before an extension, which were refused before. Blanks after a size, which some servers send, are read as before. A size line and a trailer have the limit of a head. Requests in chunks are read by the same code.

--- a/include/chervilwick/net/http_message.h
+++ b/include/chervilwick/net/http_message.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "chervilwick/net/chunk_decoder.h"
 
 struct http_parser;
 
@@ -96,6 +97,7 @@
 
   size_t FeedHead(absl::string_view bytes);
   size_t FeedBody(absl::string_view bytes);
+  size_t FeedChunks(absl::string_view bytes);
   void ParseHead();
   void Fail(HttpReadError error) { error_ = error; }
   void FinishHead();
@@ -111,6 +113,7 @@
   HttpHead head_;
   bool response_to_head_ = false;
   bool head_parsed_ = false;
+  ChunkDecoder chunks_;
   uint32_t interim_heads_ = 0;  // before this message
   bool done_ = false;
   HttpReadError error_ = HttpReadError::kNone;
--- a/include/chervilwick/net/http_syntax.h
+++ b/include/chervilwick/net/http_syntax.h
@@ -1,4 +1,4 @@
-// Grammar of status lines and field lines (RFC 9110, RFC 9112).
+// Grammar of status lines, field lines and chunk sizes (RFC 9110, RFC 9112).
 //
 // http-parser accepts more than the grammar, so what it would let through is
 // refused before it is parsed. Lines are given without their line end.
@@ -6,6 +6,7 @@
 #ifndef CHERVILWICK_NET_HTTP_SYNTAX_H_
 #define CHERVILWICK_NET_HTTP_SYNTAX_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "absl/strings/string_view.h"
@@ -24,6 +25,10 @@
 // 599. The space before an empty reason may be missing.
 bool IsStatusLine(absl::string_view line);
 
+// Parses the size and the extensions of a chunk. Returns the size in bytes;
+// nullopt if the line is malformed.
+std::optional<uint64_t> ParseChunkSize(absl::string_view line);
+
 }  // namespace chervilwick
 
 #endif  // CHERVILWICK_NET_HTTP_SYNTAX_H_
--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -1,4 +1,5 @@
-// HTTP/1.1 messages on http-parser.
+// HTTP/1.1 messages: http-parser parses heads and delimits bodies with a
+// length.
 
 #include "chervilwick/net/http_message.h"
 
@@ -182,6 +183,7 @@
   head_ = HttpHead();
   response_to_head_ = response_to_head;
   head_parsed_ = false;
+  chunks_.Reset(max_head_bytes_);
   interim_heads_ = 0;
   done_ = false;
   error_ = HttpReadError::kNone;
@@ -280,6 +282,7 @@
 }
 
 size_t HttpReader::FeedBody(absl::string_view bytes) {
+  if ((parser_->flags & F_CHUNKED) != 0) return FeedChunks(bytes);
   size_t n = http_parser_execute(parser_.get(), &Callbacks::Settings(),
                                  bytes.data(), bytes.size());
   auto error = HTTP_PARSER_ERRNO(parser_.get());
@@ -291,6 +294,18 @@
   return n;
 }
 
+size_t HttpReader::FeedChunks(absl::string_view bytes) {
+  size_t n = chunks_.Feed(
+      bytes, [this](absl::string_view part) { sink_(HttpBodyPart{part}); });
+  if (chunks_.HasFailed()) {
+    Fail(HttpReadError::kMalformed);
+  } else if (chunks_.IsDone()) {
+    done_ = true;
+    sink_(HttpEnd{});
+  }
+  return n;
+}
+
 void HttpReader::FeedEnd() {
   if (done_ || IsIdle() || error_ != HttpReadError::kNone) return;
   if (head_parsed_) {
--- a/lib/net/http_syntax.cc
+++ b/lib/net/http_syntax.cc
@@ -1,8 +1,9 @@
-// Grammar of status lines and field lines.
+// Grammar of status lines, field lines and chunk sizes.
 
 #include "chervilwick/net/http_syntax.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -76,4 +77,23 @@
   return reason.empty() || (reason[0] == ' ' && IsText(reason));
 }
 
+std::optional<uint64_t> ParseChunkSize(absl::string_view line) {
+  uint64_t size = 0;
+  size_t digits = 0;
+  for (; digits < line.size() && absl::ascii_isxdigit(line[digits]); ++digits) {
+    if (size > std::numeric_limits<uint64_t>::max() >> 4) return std::nullopt;
+    char digit = absl::ascii_tolower(line[digits]);
+    size = size << 4 |
+           static_cast<uint64_t>(absl::ascii_isdigit(digit) ? digit - '0'
+                                                            : digit - 'a' + 10);
+  }
+  if (digits == 0) return std::nullopt;
+  // Some servers pad the size with spaces.
+  absl::string_view extensions = StripWhitespace(line.substr(digits));
+  bool is_valid =
+      extensions.empty() || (extensions[0] == ';' && IsText(extensions));
+  if (!is_valid) return std::nullopt;
+  return size;
+}
+
 }  // namespace chervilwick
--- a/unittests/net/odd_answers_test.cc
+++ b/unittests/net/odd_answers_test.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr char kFramed[] = "Content-Length: 2\r\n\r\nok";
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr size_t kMaxHeadBytes = 4096;
 
 // What a reader makes of some bytes and the end of the connection.
@@ -280,5 +282,73 @@
   }
 }
 
+TEST_CASE("chunked answer with malformed framing is not whole", "[net][odd]") {
+  for (const char* body : {"2\r\nokXX0\r\n\r\n",
+                           "2\r\nokX\r\n0\r\n\r\n",
+                           "2\r\nok0\r\n\r\n",
+                           "2\r\nok\n0\r\n\r\n",
+                           "2\rXok\r\n0\r\n\r\n",
+                           "2\nok\r\n0\r\n\r\n",
+                           "2\r\nok\r\n0\r\n\rX",
+                           "2\r\nok\r\n0\n\r\n",
+                           "0x2\r\nok\r\n0\r\n\r\n",
+                           "+2\r\nok\r\n0\r\n\r\n",
+                           " 2\r\nok\r\n0\r\n\r\n",
+                           "2 x\r\nok\r\n0\r\n\r\n",
+                           "2,\r\nok\r\n0\r\n\r\n",
+                           "2;a\x01\r\nok\r\n0\r\n\r\n",
+                           "\r\n2\r\nok\r\n0\r\n\r\n",
+                           "2\r\nok\r\n\r\n0\r\n\r\n",
+                           "g\r\nok\r\n0\r\n\r\n",
+                           "10000000000000002\r\nok\r\n0\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX y: 1\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX : 1\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX\r\n\r\n",
+                           "2\r\nok\r\n0\r\n: 1\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX: \x01\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX: a\nY: b\r\n\r\n",
+                           "2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n"}) {
+    std::string bytes = absl::StrCat(kChunkedHead, body);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(body) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.error != HttpReadError::kNone);
+      CHECK(read.ends == 0);
+      CHECK((read.body.empty() || read.body == "ok"));
+    }
+  }
+}
+
+TEST_CASE("chunked answer with unusual framing is read", "[net][odd]") {
+  for (const char* body :
+       {"2\r\nok\r\n0\r\n\r\n", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        "0002\r\nok\r\n00000\r\n\r\n", "2 \r\nok\r\n0  \r\n\r\n",
+        "2;a\r\nok\r\n0;b\r\n\r\n", "2;a=b;c\r\nok\r\n0\r\n\r\n",
+        "2 ;\ta = \"b ; c\"\r\nok\r\n0\r\n\r\n",
+        "2\t;a=\xc3\xa9\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\r\nX: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nX:\r\nY: \t a\tb \xff\r\n\r\n",
+        "2\r\nok\r\n0\r\nContent-Length: 7\r\n\r\n"}) {
+    std::string bytes = absl::StrCat(kChunkedHead, body);
+    for (size_t step : Steps(bytes)) {
+      INFO(absl::CEscape(body) << " in steps of " << step);
+      Read read = ReadAnswer(bytes, step);
+      CHECK(read.is_done);
+      CHECK(read.ends == 1);
+      CHECK(read.body == "ok");
+      CHECK(read.taken == bytes.size());
+    }
+  }
+}
+
+TEST_CASE("trailer without end is malformed", "[net][odd]") {
+  for (const char* line : {"X: 1\r\n", "x"}) {
+    std::string bytes = absl::StrCat(kChunkedHead, "0\r\n");
+    while (bytes.size() < 3 * kMaxHeadBytes) absl::StrAppend(&bytes, line);
+    for (size_t step : Steps(bytes)) {
+      CHECK(ReadAnswer(bytes, step).error == HttpReadError::kMalformed);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chervilwick
