Agents took malformed answers of their servers for answers

A plain call answered with status 000, 099, 600, 101 or 103 was a success with that status, and control bytes in the reason, blanks or control bytes in a field's name and an empty name were accepted for plain calls, prompts and streams. Cause: httplib takes any three digits and any name, and the agent looked for 200 only where it needed JSON. Change: what httplib shows of a head is checked by the grammar that HttpReader uses; the rest of such a call is the failure of its engine, as it was for a closed connection. Not mended: a line without a colon, which httplib drops, and a control byte in a value, which it decodes from "%01" as well.

--- a/lib/engine/engine_client.cc
+++ b/lib/engine/engine_client.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/cord.h"
 #include "absl/strings/str_cat.h"
 #include "chervilwick/engine/sse_reader.h"
+#include "chervilwick/net/http_syntax.h"
 #include "chervilwick/support/host_port.h"
 #include "chervilwick/support/overloaded.h"
 #include "chervilwick/wire/codec.h"
@@ -92,7 +93,24 @@
   size_t bytes_ = 0;
 };
 
-// Sends a request. An answer with too long a body ends the call with an error.
+// Whether the head of a final answer follows the grammar as far as httplib
+// shows it: it accepts any three digits and any name, and takes interim heads
+// other than 100 for final ones. Values are not checked, as it decodes "%01" in
+// them.
+bool IsAnswer(const httplib::Response& response) {
+  bool is_valid_line =
+      response.status >= kHttpOk &&
+      IsStatusLine(absl::StrCat(response.version, " ", response.status, " ",
+                                response.reason));
+  return is_valid_line &&
+         std::all_of(response.headers.begin(), response.headers.end(),
+                     [](const auto& it) {
+                       return ParseFieldLine(it.first + ":").has_value();
+                     });
+}
+
+// Sends a request. An answer that is malformed, or whose body is too long, ends
+// the call with an error.
 httplib::Result Send(httplib::Client& client, httplib::Request request) {
   absl::Cord body;  // grows without being copied
   HeldBytes held;
@@ -102,6 +120,9 @@
     return held.Set(body.size());
   };
   httplib::Result result = client.send(request);
+  if (result && !IsAnswer(*result)) {
+    return httplib::Result(nullptr, httplib::Error::Read);
+  }
   if (result) absl::CopyCordToString(body, &result->body);
   return result;
 }
@@ -261,7 +282,7 @@
   int http_status = 0;
   request.response_handler = [&](const httplib::Response& response) {
     http_status = response.status;
-    return http_status == kHttpOk;
+    return http_status == kHttpOk && IsAnswer(response);
   };
   request.content_receiver = [&](const char* data, size_t size,
                                  uint64_t /*offset*/, uint64_t /*total*/) {
