Lint: string literals of a field's value in one piece

Cause: the formatter split a literal in two, which the linter takes for a missing comma. Change: a blank after the control byte, so that the literal is one piece.

--- a/unittests/net/odd_answers_test.cc
+++ b/unittests/net/odd_answers_test.cc
@@ -160,10 +160,8 @@
                                 std::string("X: a\0b", 6),
                                 "X: a\x0b",
                                 "X: a\x0c",
-                                "X:\x0b"
-                                "a",
-                                "X:\x0c"
-                                "a",
+                                "X:\x0b 1",
+                                "X:\x0c 1",
                                 "X: a\rb",
                                 "X: a\nb"}) {
     std::string bytes =
