Tests of odd answers: one check for malformed and one for whole answers

Change: the checks that each case repeated are two functions, and uploads to a front one. They check more of a whole answer than before: one head, one end and all bytes taken.

--- a/unittests/front/broken_answers_test.cc
+++ b/unittests/front/broken_answers_test.cc
@@ -39,7 +39,7 @@
 
   explicit Scripted(ScriptedPeer::Options options = {})
       : peer_([this](const HttpHead& request,
-                     const std::string&) { return Answer(request); },
+                     const std::string&) { return ReplyTo(request); },
               options) {
     // As in the daemon: a write to a connection that was reset raises it.
     std::signal(SIGPIPE, SIG_IGN);
@@ -55,6 +55,17 @@
     it.Start();
   }
 
+  // Uploads a large body, another one for each `number`.
+  Answer Upload(const std::string& target, int number) {
+    std::string body(kUploadBytes, static_cast<char>('a' + number));
+    auto answer = it.SendRequest("POST", target, "", 2000, body);
+    absl::Time end = it.loop.Now() + absl::Seconds(3);
+    while (!answer->is_complete && !answer->is_broken && it.loop.Now() < end) {
+      it.loop.RunFor(absl::Milliseconds(2));
+    }
+    return *answer;
+  }
+
   std::vector<HttpHead> Requests() const { return peer_.Requests(); }
 
   // Script of engines, and of the prefill engine; prompts are read in full
@@ -76,7 +87,7 @@
     it.store.Put("servers/" + id, entry.dump());
   }
 
-  Reply Answer(const HttpHead& request) {
+  Reply ReplyTo(const HttpHead& request) {
     std::string id = request.Get("X-Request-Id");
     if (request.Get("X-Stage") == "prefill") {
       if (prefill_script) return prefill_script(id);
@@ -241,14 +252,8 @@
     for (const char* target : kTargets) {
       INFO(target << " " << ending.name);
       for (int n = 0; n < kUploads; ++n) {
-        std::string body(kUploadBytes, static_cast<char>('a' + n));
-        auto answer = server.it.SendRequest("POST", target, "", 2000, body);
-        absl::Time end = server.it.loop.Now() + absl::Seconds(3);
-        while (!answer->is_complete && !answer->is_broken &&
-               server.it.loop.Now() < end) {
-          server.it.loop.RunFor(absl::Milliseconds(2));
-        }
-        CHECK_FALSE((answer->is_complete && answer->status < 300));
+        Answer answer = server.Upload(target, n);
+        CHECK_FALSE((answer.is_complete && answer.status < 300));
       }
     }
   }
@@ -273,15 +278,9 @@
     for (const char* target : {"/check/x", "/book/x"}) {
       INFO(target << (has_length ? " with" : " without") << " a length");
       for (int n = 0; n < kUploads; ++n) {
-        std::string body(kUploadBytes, static_cast<char>('a' + n));
-        auto answer = server.it.SendRequest("POST", target, "", 2000, body);
-        absl::Time end = server.it.loop.Now() + absl::Seconds(3);
-        while (!answer->is_complete && !answer->is_broken &&
-               server.it.loop.Now() < end) {
-          server.it.loop.RunFor(absl::Milliseconds(2));
-        }
-        CHECK(answer->status == 413);
-        CHECK(answer->body == "too large");
+        Answer answer = server.Upload(target, n);
+        CHECK(answer.status == 413);
+        CHECK(answer.body == "too large");
       }
     }
   }
--- a/unittests/net/odd_answers_test.cc
+++ b/unittests/net/odd_answers_test.cc
@@ -63,6 +63,31 @@
   return {1, 7, bytes.size()};
 }
 
+void CheckMalformed(const std::string& bytes) {
+  for (size_t step : Steps(bytes)) {
+    INFO(absl::CEscape(bytes) << " in steps of " << step);
+    Read read = ReadAnswer(bytes, step);
+    CHECK(read.error == HttpReadError::kMalformed);
+    CHECK(read.heads == 0);
+    CHECK(read.body.empty());
+    CHECK(read.ends == 0);
+  }
+}
+
+// Reads the body "ok".
+void CheckWhole(const std::string& bytes, int status) {
+  for (size_t step : Steps(bytes)) {
+    INFO(absl::CEscape(bytes) << " in steps of " << step);
+    Read read = ReadAnswer(bytes, step);
+    CHECK(read.heads == 1);
+    CHECK(read.head.status == status);
+    CHECK(read.body == "ok");
+    CHECK(read.is_done);
+    CHECK(read.ends == 1);
+    CHECK(read.taken == bytes.size());
+  }
+}
+
 TEST_CASE("answer with a malformed status line is no answer", "[net][odd]") {
   for (const std::string& line :
        std::vector<std::string>{"HTTP/1.1 000 Trouble",
@@ -100,14 +125,7 @@
                                 "200 OK",
                                 ""}) {
     std::string bytes = absl::StrCat(line, "\r\n", kFramed);
-    for (size_t step : Steps(bytes)) {
-      INFO(absl::CEscape(line) << " in steps of " << step);
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.error == HttpReadError::kMalformed);
-      CHECK(read.heads == 0);
-      CHECK(read.body.empty());
-      CHECK(read.ends == 0);
-    }
+    CheckMalformed(bytes);
   }
 }
 
@@ -130,13 +148,7 @@
                                           {"HTTP/1.1 499 Odd", 499},
                                           {"HTTP/1.1 599 Odd", 599}}) {
     std::string bytes = absl::StrCat(it.line, "\r\n", kFramed);
-    for (size_t step : Steps(bytes)) {
-      INFO(absl::CEscape(it.line) << " in steps of " << step);
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.head.status == it.status);
-      CHECK(read.body == "ok");
-      CHECK(read.is_done);
-    }
+    CheckWhole(bytes, it.status);
   }
 }
 
@@ -166,14 +178,7 @@
                                 "X: a\nb"}) {
     std::string bytes =
         absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n", kFramed);
-    for (size_t step : Steps(bytes)) {
-      INFO(absl::CEscape(line) << " in steps of " << step);
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.error == HttpReadError::kMalformed);
-      CHECK(read.heads == 0);
-      CHECK(read.body.empty());
-      CHECK(read.ends == 0);
-    }
+    CheckMalformed(bytes);
   }
 }
 
@@ -182,13 +187,7 @@
                            "X: \t 1 \t ", "X: a\tb  c", "X: \xc3\xa9 \xff"}) {
     std::string bytes =
         absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n", kFramed);
-    for (size_t step : Steps(bytes)) {
-      INFO(absl::CEscape(line) << " in steps of " << step);
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.head.status == 200);
-      CHECK(read.body == "ok");
-      CHECK(read.is_done);
-    }
+    CheckWhole(bytes, 200);
   }
 }
 
@@ -236,14 +235,7 @@
           absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields, "\r\n");
       std::string bytes =
           absl::StrCat(interim, interim, "HTTP/1.1 200 OK\r\n", kFramed);
-      for (size_t step : Steps(bytes)) {
-        INFO(status << " " << fields << " in steps of " << step);
-        Read read = ReadAnswer(bytes, step);
-        CHECK(read.heads == 1);
-        CHECK(read.head.status == 200);
-        CHECK(read.body == "ok");
-        CHECK(read.is_done);
-      }
+      CheckWhole(bytes, 200);
     }
   }
 }
@@ -254,14 +246,7 @@
     for (int status : {100, 101, 103, 199}) {
       std::string bytes =
           absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields, "\r\nok");
-      for (size_t step : Steps(bytes)) {
-        INFO(status << " " << fields << " in steps of " << step);
-        Read read = ReadAnswer(bytes, step);
-        CHECK(read.error == HttpReadError::kMalformed);
-        CHECK(read.heads == 0);
-        CHECK(read.body.empty());
-        CHECK(read.ends == 0);
-      }
+      CheckMalformed(bytes);
     }
   }
 }
@@ -272,11 +257,7 @@
     std::string bytes =
         absl::StrCat("HTTP/1.1 101 Switching Protocols\r\n", fields,
                      "\r\nHTTP/1.1 200 OK\r\n", kFramed);
-    for (size_t step : Steps(bytes)) {
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.error == HttpReadError::kMalformed);
-      CHECK(read.heads == 0);
-    }
+    CheckMalformed(bytes);
   }
 }
 
@@ -327,14 +308,7 @@
         "2\r\nok\r\n0\r\nX:\r\nY: \t a\tb \xff\r\n\r\n",
         "2\r\nok\r\n0\r\nContent-Length: 7\r\n\r\n"}) {
     std::string bytes = absl::StrCat(kChunkedHead, body);
-    for (size_t step : Steps(bytes)) {
-      INFO(absl::CEscape(body) << " in steps of " << step);
-      Read read = ReadAnswer(bytes, step);
-      CHECK(read.is_done);
-      CHECK(read.ends == 1);
-      CHECK(read.body == "ok");
-      CHECK(read.taken == bytes.size());
-    }
+    CheckWhole(bytes, 200);
   }
 }
 
