Version with a part that can't be used stayed out of force as a whole

What callers saw: a version that the store had accepted took a key away, added a route and added an account whose name has a space. It never came into force: the withdrawn key ran (10 of 10 requests), the new route got 404 and the new key 401. A front that started while it was the newest version never got ready. Blanks, tabs, line breaks or letters of other languages in a name, an empty key, a negative or null priority or rate, and a route of an unknown kind did the same. Cause: ParseRouteTable threw at the first field that it could not use, and StoreSync left the whole item aside. A name had to be usable as an id of a server, though a header field carries far more. Numbers beyond a double and text that is not UTF-8 failed one step earlier, in the JSON parser. Change: ConfigReader reads part by part, uses what can be used and lists the rest as defects, with their JSON pointers. These are logged, counted by a metric and shown in the status. A name that a field can't carry unchanged is sent to no server. A route whose kind or services can't be used refuses its requests, so that no shorter prefix takes them. A version whose number can't be read is ordered by the store's revision.

--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -47,6 +47,8 @@
   uint32_t attempts = 1;
   bool resumable = false;
   bool is_public = false;  // needs no credentials
+  // Empty if what the version says of them, or of the kind, can't be used: the
+  // route's requests are refused, rather than matched by a shorter prefix.
   std::vector<WeightedService> services;
 
   bool MayRepeat() const {
@@ -77,13 +79,23 @@
   absl::Duration idle_timeout = absl::Seconds(15);
 };
 
+// A part of a stored version that can't be used.
+struct ConfigDefect {
+  std::string path;  // JSON pointer
+  std::string reason;
+};
+
 struct RouteTable {
-  VersionNumber version;
+  VersionNumber version;  // 0 if it can't be read
   std::vector<Route> routes;
+  // Whether there are routes whose host or prefix can't be read.
+  bool has_unknown_routes = false;
   std::map<ServiceName, ServiceTraits> services;
   ClientLimits limits;
   // If set, requests on routes that are not public need an account's key.
   std::optional<AccountTable> accounts;
+  // What is left out above.
+  std::vector<ConfigDefect> defects;
 
   // Returns the route of that host (case and port ignored) with the longest
   // prefix of the target's path; null if there is none.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -82,6 +82,8 @@
   void OnControlRequest(EventHttpServer& server, ExchangeId id,
                         const HttpRequest& request);
   void OnRouteTable(const RouteTable& table);
+  // Logs the parts of the version in force that can't be used.
+  void LogDefects();
   void OnBackend(const BackendRecord& record);
   void OnBackendRemoved(const BackendName& id, absl::Time at);
   void OnStoreReachable(bool reachable, absl::string_view reason);
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -35,7 +35,7 @@
   StoreSync(FrontContext& context, Listener listener);
 
   void Start();
-  bool has_table() const { return version_ != 0; }
+  bool has_table() const { return table_revision_ != 0; }
   bool has_backends() const { return has_backends_; }
   bool is_reachable() const { return !plan_.IsOutage(); }
   uint64_t revision() const { return revision_; }
@@ -64,6 +64,7 @@
   void RecordSuccess(bool has_changes);
   void Apply(const StoreItem& item);
   void ApplyRemoval(const BackendName& id);
+  void ApplyTable(const StoreItem& item, RouteTable& table);
   // Logs one line for each version of an item, and drops the server that an
   // earlier version named.
   void OnMalformed(const StoreItem& item, const MalformedItem& problem);
@@ -84,7 +85,8 @@
   std::string after_key_;
   uint64_t load_revision_ = 0;
   uint64_t revision_ = 0;
-  uint64_t version_ = 0;
+  VersionNumber version_;        // newest number that was read
+  uint64_t table_revision_ = 0;  // at which the table in force was written
   bool has_backends_ = false;
   bool is_in_outage_ = false;
   absl::Time last_answer_ = absl::InfinitePast();
--- a/include/chervilwick/net/http_syntax.h
+++ b/include/chervilwick/net/http_syntax.h
@@ -21,6 +21,10 @@
 // Parses a line of a header or trailer section; nullopt if it is malformed.
 std::optional<FieldLine> ParseFieldLine(absl::string_view line);
 
+// Whether a field line carries that value unchanged: it is not empty and has
+// neither control bytes other than tabs nor whitespace at its ends.
+bool IsFieldValue(absl::string_view value);
+
 // Whether a response may begin with that line: HTTP/1, a status from 100 to
 // 599. The space before an empty reason may be missing.
 bool IsStatusLine(absl::string_view line);
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -51,6 +51,9 @@
 // learn its result.
 constexpr double kMaxNoticeJitter = 1.6;
 
+// Lines about unusable parts of one version; the metric counts all of them.
+constexpr size_t kMaxLoggedDefects = 100;
+
 // Fronts try a request with a part that was blamed for crashes at different
 // times within that span after its quarantine.
 constexpr absl::Duration kMaxTrialDelay = absl::Seconds(60);
@@ -261,8 +264,23 @@
   return !shutdown_ && store_.has_table() && store_.has_backends();
 }
 
+void FrontDaemon::LogDefects() {
+  size_t logged = 0;
+  for (const ConfigDefect& it : table_.defects) {
+    if (logged++ == kMaxLoggedDefects) break;
+    context_.log.Write(loop_.Now(), "version_part_unusable",
+                       {{"version", table_.version.value()},
+                        {"path", it.path},
+                        {"reason", it.reason}});
+  }
+}
+
 void FrontDaemon::OnRouteTable(const RouteTable& table) {
+  std::vector<Route> routes = std::move(table_.routes);
   table_ = table;
+  // Of a version without a readable route, everything else is used.
+  bool keeps_routes = table_.has_unknown_routes && table_.routes.empty();
+  if (keeps_routes) table_.routes = std::move(routes);
   context_.scheduler.SetEngineTraits(table_.services);
   ApplyLimits();
   context_.durations.KeepOnly(table_);
@@ -282,7 +300,9 @@
        {"accounts", table_.accounts
                         ? static_cast<uint64_t>(table_.accounts->all().size())
                         : uint64_t{0}},
-       {"urgent_priority", table_.UrgentPriority().value_or(-1)}});
+       {"urgent_priority", table_.UrgentPriority().value_or(-1)},
+       {"unusable_parts", static_cast<uint64_t>(table_.defects.size())}});
+  LogDefects();
   std::vector<ExchangeId> ids;
   for (const auto& it : relays_) ids.push_back(it.first);
   for (ExchangeId id : ids) {
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -1,8 +1,13 @@
 // HTTP endpoints of a front for operators and other fronts.
 
+#include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "chervilwick/front/front_daemon.h"
 #include "chervilwick/telemetry/metrics.h"
 
@@ -21,8 +26,10 @@
     samples_.push_back(
         {name, help, MetricType::kCounter, value, std::move(labels)});
   }
-  void Gauge(const char* name, const char* help, double value) {
-    samples_.push_back({name, help, MetricType::kGauge, value, {}});
+  void Gauge(const char* name, const char* help, double value,
+             std::vector<MetricLabel> labels = {}) {
+    samples_.push_back(
+        {name, help, MetricType::kGauge, value, std::move(labels)});
   }
   void Histogram(const std::string& name, const char* help,
                  const LatencyHistogram& counts,
@@ -166,6 +173,27 @@
         stats.peer_datagrams_bad);
 }
 
+// Path without the positions in lists: the number of labels stays small.
+std::string PartOf(const std::string& path) {
+  std::string part;
+  for (absl::string_view name : absl::StrSplit(path, '/', absl::SkipEmpty())) {
+    bool is_position =
+        std::all_of(name.begin(), name.end(), absl::ascii_isdigit);
+    if (!is_position) absl::StrAppend(&part, "/", name);
+  }
+  return part;
+}
+
+void AddDefects(const RouteTable& table, SampleList& list) {
+  std::map<std::string, size_t> counts;
+  for (const ConfigDefect& it : table.defects) ++counts[PartOf(it.path)];
+  for (const auto& [part, count] : counts) {
+    list.Gauge("front_version_parts_unusable",
+               "Parts of the version in force that can't be used.",
+               static_cast<double>(count), {{"part", part}});
+  }
+}
+
 }  // namespace
 
 std::string FrontDaemon::Metrics() const {
@@ -194,6 +222,7 @@
              static_cast<double>(peers_.live_peer_count()));
   list.Gauge("front_version", "Configuration version in force.",
              static_cast<double>(table_.version.value()));
+  AddDefects(table_, list);
   list.Gauge("front_store_age_seconds", "Since the store's last answer.",
              absl::ToDoubleSeconds(loop_.Now() - store_.last_answer()));
   return list.Render();
@@ -237,11 +266,16 @@
                         {"capacity", cap->capacity},
                         {"rate_per_s", cap->rate_per_s}});
   }
+  Json defects = Json::array();
+  for (const ConfigDefect& it : table_.defects) {
+    defects.push_back({{"path", it.path}, {"reason", it.reason}});
+  }
   Json status = {
       {"name", context_.settings.name},
       {"zone", context_.settings.zone},
       {"ready", IsReady()},
       {"version", table_.version.value()},
+      {"unusable_parts", defects},
       {"store_revision", store_.revision()},
       {"store_reachable", store_.is_reachable()},
       {"store_age_ms", MillisecondsOrNull(now - store_.last_answer())},
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -16,6 +16,9 @@
 // Retry-After while a starting front has no configuration yet: it usually
 // arrives within this time.
 constexpr absl::Duration kRetryAfterStart = absl::Milliseconds(400);
+// Retry-After for a route that the version in force does not describe well
+// enough: the next version may.
+constexpr absl::Duration kRetryAfterUnusable = absl::Seconds(2);
 // Times that a request waits until the peers know its account's use.
 constexpr int kMaxHolds = 3;
 // Retry-After while the store can't be asked about a key.
@@ -85,10 +88,14 @@
   }
   const Route* route =
       table_.Match(request.head.Get("Host"), request.head.target);
-  if (route == nullptr) {
+  if (route == nullptr && !table_.has_unknown_routes) {
     Reject(id, facts, 404, "no_route");
     return;
   }
+  if (route == nullptr || route->services.empty()) {
+    Reject(id, facts, 503, "route_unusable", kRetryAfterUnusable);
+    return;
+  }
   admitted.route = *route;
   admitted.priority = route->priority;
   if (RejectWithoutAccount(request.head, admitted)) return;
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -273,16 +273,24 @@
           },
           [&](CrashedRun& it) { listener_.on_broken_run(it); },
           [&](StageDutyHolder& it) { listener_.on_duty_holder(it.holder); },
-          [&](RouteTable& it) {
-            if (it.version.value() <= version_) return;
-            version_ = it.version.value();
-            items_[item.key] = context_.protocol.WithoutSecrets(item);
-            listener_.on_table(it);
-          },
+          [&](RouteTable& it) { ApplyTable(item, it); },
       },
       fact);
 }
 
+void StoreSync::ApplyTable(const StoreItem& item, RouteTable& table) {
+  // A version whose number can't be read is newer if it was written later.
+  bool has_number = table.version.value() != 0;
+  bool is_newer =
+      has_number ? table.version > version_ : item.revision > table_revision_;
+  if (!is_newer) return;
+  if (has_number) version_ = table.version;
+  table.version = version_;
+  table_revision_ = item.revision;
+  items_[item.key] = context_.protocol.WithoutSecrets(item);
+  listener_.on_table(table);
+}
+
 void StoreSync::OnMalformed(const StoreItem& item,
                             const MalformedItem& problem) {
   if (malformed_.size() >= kMaxMalformed) malformed_.clear();
--- a/lib/net/http_syntax.cc
+++ b/lib/net/http_syntax.cc
@@ -55,6 +55,11 @@
   return field;
 }
 
+bool IsFieldValue(absl::string_view value) {
+  return !value.empty() && IsText(value) &&
+         StripWhitespace(value).size() == value.size();
+}
+
 bool IsStatusLine(absl::string_view line) {
   if (!absl::ConsumePrefix(&line, kVersion)) return false;
   // The minor version is one digit.
