Front ended on a configuration that is nested without end

What callers saw: nothing yet. A version with a value nested some 100,000 levels deep, also in a member that nobody reads, ended each front that put it in force, and each front that started after it. Cause: the copy for peers, which holds digests in place of keys, is written by a recursive serializer; parsing and destruction are iterative. Found on the paths of the fault before: the copy is the second reader of a stored version. The mutation "a front goes back to an old version" names the line that took the place of its text.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -121,7 +121,7 @@
     ("a restarted server keeps its record", "lib/dispatch/backend_table.cc",
      "if (restarted) {", "if (false) {", "dispatch"),
     ("a front goes back to an old version", "lib/front/store_sync.cc",
-     "if (it.version.value() <= version_) return;", "", "front"),
+     "if (!is_newer) return;", "", "front"),
     ("a forgotten history is not read anew", "lib/front/store_sync.cc",
      "if (status_ == kHistoryGone && step_ == Step::kWatch) {", "if (false) {", "front"),
     ("each front uses the whole retry budget", "lib/dispatch/retry_quota.cc",
--- a/unittests/front/partial_versions_test.cc
+++ b/unittests/front/partial_versions_test.cc
@@ -324,6 +324,19 @@
   }
 }
 
+// Guards against a copy that is written recursively: the process ended.
+TEST_CASE("a part without end in depth ends no front", "[front][partial]") {
+  std::string deep = std::string(300000, '[') + std::string(300000, ']');
+  for (const char* path :
+       {"/further", "/tenants/1/further", "/tenants/1/name", "/routes/5"}) {
+    INFO(path);
+    PartialDeployment it(FirstConfig());
+    it.Put(WithRawText(NextConfig(), path, deep));
+    it.CheckNextInForce();
+    CHECK(it.Get("GET", kPeerCopyPath, it.settings.control).status == 200);
+  }
+}
+
 TEST_CASE("keys that can't be used are in no log, status or copy for a peer",
           "[front][partial]") {
   Json config = NextConfig();
