Key of over 1,000 bytes was taken from the configuration and then refused

What callers saw: 401 for each request with such a key, though an account held it: 1,000 bytes were served, 1,001 not. Cause: ParseCredentials called longer credentials malformed, so that nothing of arbitrary length is hashed. The size of a head is bounded anyway.

--- a/unittests/front/partial_versions_test.cc
+++ b/unittests/front/partial_versions_test.cc
@@ -274,6 +274,19 @@
   }
 }
 
+TEST_CASE("any key that a request can carry is served", "[front][partial]") {
+  std::vector<std::string> keys = {"key with space", "a\tb", "\xd0\xba\xd0\xbb",
+                                   std::string(3000, 'k')};
+  Json config = NextConfig();
+  config["tenants"][1]["api_keys"] = keys;
+  PartialDeployment it(config);
+  for (const std::string& key : keys) {
+    INFO(key.substr(0, 40));
+    CHECK(it.StatusOf("/book/x", key) == 200);
+  }
+  CHECK(it.StatusOf("/book/x", "key") == 401);
+}
+
 // Guards against a request that a shorter prefix sends to another service.
 TEST_CASE("requests of a route that can't be used run nowhere",
           "[front][partial]") {
