Requests were refused whose key another account holds since they arrived

A run under such a key was not resumed when its engine broke off. The same for a key that was withdrawn for one version and held again by the next, and for one that was withdrawn as its route became public. Cause: a request kept the name of its account, and after each version the front asked whether that name still holds the key. The verdict "revoked" was final. Found on the same path: a request that arrived while there were no accounts was never held to those of a later version. Its next call passed on the client's key, and the account that the client claimed. Change: a request keeps its credentials, also where nobody asks for them. After each version Relay::UpdateAccount asks the table for the account that holds the key now, as on arrival, and calls that start from then on name that one. Only a key that no account holds ends what has not run, as long as none does. What was taken from a cap goes back to the account that it was taken from. A request that was admitted under an account shows no credentials when accounts are gone.

--- a/include/chervilwick/dispatch/client_accounts.h
+++ b/include/chervilwick/dispatch/client_accounts.h
@@ -58,6 +58,15 @@
   KeyDigest key;  // of kKey
 };
 
+// What the configuration in force makes of a request's credentials.
+struct Authorization {
+  bool is_allowed = true;
+  // Set if the configuration holds accounts; empty for a request on a public
+  // route without a valid key.
+  std::optional<AccountName> account;
+  std::optional<int> priority;  // of the account, if it has one
+};
+
 class AccountTable {
  public:
   AccountTable() = default;
--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -102,6 +102,8 @@
   const Route* Match(absl::string_view host, absl::string_view target) const;
   const Route* FindByName(const std::string& name) const;
   const EngineTraits* FindEngine(const ServiceName& service) const;
+  // `is_public`: whether the request needs no credentials.
+  Authorization Authorize(const Credentials& credentials, bool is_public) const;
   // Whether streams reserve their place at a decode engine before the prompt is
   // read: client accounts compete for the engines, which offer reservations.
   bool ReservesPlaces(const ServiceName& service) const;
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -197,8 +197,8 @@
   // deadline has passed.
   void OnAbandoned(StreamStage stage, absl::Time now);
 
-  // From now on, the stream is not sent to another engine.
-  void ForbidRuns() { may_run_again_ = false; }
+  // Whether the stream may be sent to another engine from now on.
+  void SetMayRunAgain(bool may_run) { may_run_again_ = may_run; }
   // Ends a waiting stream whose request has been quarantined.
   void RecheckQuarantine(absl::Time now);
 
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -66,8 +66,8 @@
   std::function<void()> wake_scheduler;
   // Route of that name in the configuration in force; null if there is none.
   std::function<const Route*(const std::string&)> current_route;
-  // Whether the configuration in force lets that key use the account.
-  std::function<bool(const AccountName&, const KeyDigest&)> holds_key;
+  // RouteTable::Authorize of the configuration in force.
+  std::function<Authorization(const Credentials&, bool is_public)> authorize;
   // Traits of a service's engines in the configuration in force; null if
   // unknown.
   std::function<const EngineTraits*(const ServiceName&)> engine_traits;
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -31,12 +31,13 @@
   // Of the parts of the prompt that other requests may share, in order.
   std::vector<Fingerprint> parts;
   absl::Time arrived;
+  Credentials credentials;
   // Set if the configuration holds accounts; empty for a request on a public
-  // route without a valid key.
+  // route without a valid key. Follows the configuration in force.
   std::optional<AccountName> account;
-  KeyDigest key;         // under which it was admitted, if it needs one
-  int64_t cap_cost = 0;  // taken from the account's cap
-  int priority = 0;      // of the account, else of the route
+  AccountName cap_account;  // from whose cap the request was taken
+  int64_t cap_cost = 0;     // 0 if it was taken from none
+  int priority = 0;         // of the account, else of the route
   bool reserves_place = false;
   // Time that earlier attempts of the client took.
   absl::Duration spent_before = absl::ZeroDuration();
@@ -77,8 +78,8 @@
   // Called when the client closes its connection.
   virtual void OnClientGone() = 0;
   // Called when a new configuration version is in force. Applies a changed
-  // timeout of the route.
-  // Ends what has not run if the key of the request was taken away.
+  // timeout of the route, and the account that holds the request's key now.
+  // Ends what has not run if none does.
   void OnConfigChange();
   // Called when the front shuts down and can't wait for the response. Responds
   // with an error; a response that has begun is cut off.
@@ -95,9 +96,11 @@
  protected:
   // Called at the client's deadline or the route's timeout.
   virtual void OnTimeout() = 0;
-  // Called when the key of the request was taken away. A run goes on but is
-  // not repeated.
+  // Called when no account holds the key of the request any more. A run goes
+  // on but is not repeated.
   virtual void OnKeyRevoked() = 0;
+  // Called when an account holds it again.
+  virtual void OnKeyRestored() {}
   // Cancels the open calls and the timers.
   virtual void CancelCalls() = 0;
 
@@ -144,6 +147,9 @@
 
  private:
   void ArmTimeout();
+  // Finds the account that holds the request's key in the configuration in
+  // force. Calls that start from now on carry it.
+  void UpdateAccount();
   // Returns what the request took from its account's cap if it has not run.
   void SettleCap();
   CallOptions EngineCallOptions() const;
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -40,6 +40,7 @@
  protected:
   void OnTimeout() override { EndAsOpen("timeout"); }
   void OnKeyRevoked() override;
+  void OnKeyRestored() override;
 
  private:
   using Phase = StreamLifecycle::Phase;
--- a/lib/dispatch/route_table.cc
+++ b/lib/dispatch/route_table.cc
@@ -41,6 +41,14 @@
   return &*it->second.engine;
 }
 
+Authorization RouteTable::Authorize(const Credentials& credentials,
+                                    bool is_public) const {
+  if (!accounts) return {};
+  const ClientAccount* holder = accounts->FindByKey(credentials.key);
+  if (holder == nullptr) return {is_public, AccountName(), std::nullopt};
+  return {true, holder->name, holder->priority};
+}
+
 bool RouteTable::ReservesPlaces(const ServiceName& service) const {
   const EngineTraits* engine = FindEngine(service);
   return accounts && engine != nullptr &&
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -192,11 +192,8 @@
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
   };
-  context_.holds_key = [this](const AccountName& name, const KeyDigest& key) {
-    // Without accounts, no key is asked for.
-    if (!table_.accounts) return true;
-    const ClientAccount* holder = table_.accounts->FindByKey(key);
-    return holder != nullptr && holder->name == name;
+  context_.authorize = [this](const Credentials& credentials, bool is_public) {
+    return table_.Authorize(credentials, is_public);
   };
   context_.store_age = [this] { return loop_.Now() - store_.last_answer(); };
   context_.engine_traits = [this](const ServiceName& service) {
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -137,19 +137,14 @@
 
 bool FrontDaemon::RejectWithoutAccount(const HttpHead& head,
                                        AdmittedRequest& admitted) {
-  if (!table_.accounts) return false;
-  admitted.account = AccountName();
-  Credentials credentials = context_.protocol.ParseCredentials(head);
-  const ClientAccount* account = table_.accounts->FindByKey(credentials.key);
-  if (account != nullptr) {
-    admitted.account = account->name;
-    admitted.priority = account->priority.value_or(admitted.priority);
-  }
-  if (admitted.route.is_public) return false;
-  if (account != nullptr) {
-    admitted.key = credentials.key;
-    return false;
-  }
+  // Kept even where no account asks for them: a later version may.
+  admitted.credentials = context_.protocol.ParseCredentials(head);
+  const Credentials& credentials = admitted.credentials;
+  Authorization granted =
+      table_.Authorize(credentials, admitted.route.is_public);
+  admitted.account = granted.account;
+  admitted.priority = granted.priority.value_or(admitted.priority);
+  if (granted.is_allowed) return false;
   if (credentials.kind != Credentials::Kind::kKey) {
     Reject(admitted.id, admitted.facts, 401,
            credentials.kind == Credentials::Kind::kNone
@@ -167,14 +162,16 @@
 
 AccountVerdict FrontDaemon::TakeFromCap(AdmittedRequest& admitted,
                                         bool may_wait) {
-  // Requests without a key don't take from a cap.
-  if (admitted.key.value().empty()) return {};
-  const ClientAccount* account = table_.accounts->FindByKey(admitted.key);
+  // Requests that need no key don't take from a cap.
+  if (!table_.accounts || admitted.route.is_public) return {};
+  const ClientAccount* account =
+      table_.accounts->FindByKey(admitted.credentials.key);
   int64_t cost = account->cap.CostOf(admitted.facts.TotalTokens());
   AccountVerdict verdict =
       context_.accounts.TryTake(account->name, cost, loop_.Now());
   AccountStats& stats = context_.stats.OfAccount(account->name.value());
   if (verdict.IsAdmitted()) {
+    admitted.cap_account = account->name;
     admitted.cap_cost = cost;
     ++stats.admitted;
     return verdict;
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -47,19 +47,44 @@
 void Relay::ArmTimeout() { timeout_.Arm(Remaining()); }
 
 void Relay::OnConfigChange() {
-  if (!is_key_revoked_ && !admitted_.key.value().empty() &&
-      !context_.holds_key(*admitted_.account, admitted_.key)) {
-    is_key_revoked_ = true;
-    Log("key_revoked", "", MayHaveRun() ? "run goes on" : "not run");
-    OnKeyRevoked();
-    if (is_finished_) return;
-  }
+  UpdateAccount();
+  if (is_finished_) return;
   const Route* route = context_.current_route(admitted_.route.name);
   if (route == nullptr || route->timeout == admitted_.route.timeout) return;
   admitted_.route.timeout = route->timeout;
   ArmTimeout();
 }
 
+void Relay::UpdateAccount() {
+  const Route* route = context_.current_route(admitted_.route.name);
+  bool is_public =
+      admitted_.route.is_public || (route != nullptr && route->is_public);
+  Authorization granted = context_.authorize(admitted_.credentials, is_public);
+  if (!granted.is_allowed) {
+    if (is_key_revoked_) return;
+    is_key_revoked_ = true;
+    Log("key_revoked", "", MayHaveRun() ? "run goes on" : "not run");
+    OnKeyRevoked();
+    return;
+  }
+  // A configuration without accounts does not ask for credentials, but those
+  // that were given to the front are not a server's to see.
+  if (admitted_.account && !granted.account) granted.account = AccountName();
+  if (admitted_.account != granted.account) {
+    context_.log.Write(
+        Now(), "account_changed",
+        {{"id", admitted_.facts.request_id},
+         {"account", granted.account->value()},
+         {"before", admitted_.account.value_or(AccountName()).value()}});
+  }
+  admitted_.account = granted.account;
+  admitted_.priority = granted.priority.value_or(admitted_.route.priority);
+  if (!is_key_revoked_) return;
+  is_key_revoked_ = false;
+  Log("key_restored", "", "runs are allowed again");
+  OnKeyRestored();
+}
+
 CallId Relay::CallEngine(const Endpoint& engine, const ForwardOptions& forward,
                          size_t max_body_bytes, CallHandler handler) {
   CallOptions options = EngineCallOptions();
@@ -150,9 +175,9 @@
   if (admitted_.cap_cost == 0) return;
   bool has_run = MayHaveRun();
   if (!has_run) {
-    context_.accounts.Return(*admitted_.account, admitted_.cap_cost, Now());
+    context_.accounts.Return(admitted_.cap_account, admitted_.cap_cost, Now());
   }
-  context_.stats.OfAccount(admitted_.account->value())
+  context_.stats.OfAccount(admitted_.cap_account.value())
       .CountDone(has_run, admitted_.cap_cost);
 }
 
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -625,7 +625,7 @@
 }
 
 void StreamRelay::OnKeyRevoked() {
-  lifecycle_.ForbidRuns();
+  lifecycle_.SetMayRunAgain(false);
   if (lifecycle_.runs() > 0) return;
   AbandonCalls("key_revoked");
   context().scheduler.Withdraw(admitted().id);
@@ -634,6 +634,8 @@
   Relay::RespondWithError({401, "key_revoked"});
 }
 
+void StreamRelay::OnKeyRestored() { lifecycle_.SetMayRunAgain(true); }
+
 void StreamRelay::EndAsOpen(absl::string_view reason) {
   AbandonCalls(reason);
   context().scheduler.Withdraw(admitted().id);
--- a/unittests/dispatch/stream_reservation_test.cc
+++ b/unittests/dispatch/stream_reservation_test.cc
@@ -82,7 +82,7 @@
   Stream it(/*resumable=*/true);
   it.StartAndReadPrompt();
   it.lifecycle.OnStreaming(it.now);
-  it.lifecycle.ForbidRuns();
+  it.lifecycle.SetMayRunAgain(false);
   it.lifecycle.OnDecodeFailed(DecodeFailure::kClosed, it.now);
   REQUIRE(it.port.ending.has_value());
   CHECK(it.port.ending->kind == StreamEnding::Kind::kCut);
--- a/unittests/platform/accounts_test.cc
+++ b/unittests/platform/accounts_test.cc
@@ -102,7 +102,7 @@
             {"/plain_tokens"}}}) {
     INFO(draw.account);
     std::string config = kConfig;
-    config.insert(config.rfind("]"), absl::StrCat(",", draw.account));
+    config.insert(config.rfind(']'), absl::StrCat(",", draw.account));
     PlatformProtocol protocol;
     // A peer reads its copy as this front reads the store.
     for (const StoreItem& item :
@@ -121,7 +121,7 @@
       CHECK(table.accounts->FindByName(AccountName("two")) != nullptr);
       const ClientAccount* account =
           table.accounts->FindByKey(DigestOfKey("k"));
-      bool has_keys = std::string(draw.account).find("[") != std::string::npos;
+      bool has_keys = std::string(draw.account).find('[') != std::string::npos;
       REQUIRE((account != nullptr) == has_keys);
       if (account == nullptr) continue;
       CHECK(account == &table.accounts->all().back());
@@ -142,7 +142,7 @@
     INFO(odd);
     std::string config = kConfig;
     config.insert(
-        config.rfind("]"),
+        config.rfind(']'),
         absl::StrCat(",{\"name\":\"", odd,
                      "\",\"api_keys\":[\"k\"]},{\"name\":\"\xc3\x9c \\u00fc "
                      "\\ud83d\\ude00\",\"api_keys\":[\"l\"]}"));
