Use was given back to buckets that it had not been taken from

What callers saw: nothing reported; more than an account's cap could run. An account that one version left out and the next one brought back, or whose cap or unit did so, began with a new bucket. A request that was charged before and had not run was then given back to that bucket, and a request that arrived while there was no cap was given back to one that had not been charged at all. Peers subtracted the total of the old bucket from that of the new one and counted the difference as given back. Cause: a charge was known by the account's name alone, and the totals of each bucket began with series 1. Change: a charge names its bucket by a number that no other bucket has, and only that one takes it back. The series of totals come from the same counter.

--- a/include/chervilwick/dispatch/account_limiter.h
+++ b/include/chervilwick/dispatch/account_limiter.h
@@ -31,7 +31,8 @@
 
 // Net use of an account by one front, in the cap's units.
 struct AccountTotal {
-  // A total begins anew at zero, with another number, after a long idle time.
+  // A total begins anew at zero, with another number, after a long idle time
+  // and with each new bucket.
   uint32_t series = 0;
   // Decreases when a request that was charged has not run.
   int64_t total = 0;
@@ -42,6 +43,17 @@
 };
 using AccountUse = std::map<AccountId, AccountTotal>;
 
+// Distinguishes the bucket of an account from those that it had in earlier
+// configurations, or with another unit. 0 stands for none.
+using BucketNumber = StrongType<struct BucketNumberTag, uint32_t>;
+
+// What a request took from an account's cap.
+struct CapCharge {
+  AccountName account;
+  int64_t cost = 0;     // in the cap's units
+  BucketNumber bucket;  // none if the account had no cap
+};
+
 struct AccountVerdict {
   enum class Outcome {
     kAdmitted,
@@ -50,6 +62,7 @@
   };
 
   Outcome outcome = Outcome::kAdmitted;
+  CapCharge charge;  // if admitted
   int64_t left = 0;  // that the fleet may still take, before this request
   absl::Duration retry_after = absl::ZeroDuration();  // unless admitted
 
@@ -84,8 +97,9 @@
   // Charges the account with `cost` if its cap allows it.
   AccountVerdict TryTake(const AccountName& account, int64_t cost,
                          absl::Time now);
-  // Takes back the charge of a request that has not run.
-  void Return(const AccountName& account, int64_t cost, absl::Time now);
+  // Takes back the charge of a request that has not run. Does nothing if the
+  // account has another bucket by now: nothing was taken from that one.
+  void Return(const CapCharge& charge, absl::Time now);
 
   // Applies a report of a peer's process `incarnation` that lists all accounts
   // that the peer used lately.
@@ -109,6 +123,7 @@
 
  private:
   struct Bucket {
+    BucketNumber number;
     AccountCap cap;
     double level = 0;
     absl::Time updated;
@@ -153,6 +168,8 @@
   AccountTolerance tolerance_;
   uint32_t heard_ = 1;
   uint32_t known_ = 1;
+  // Of totals and buckets of this process: none is used again.
+  uint32_t last_number_ = 0;
   std::map<AccountId, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
 };
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -35,9 +35,8 @@
   // Set if the configuration holds accounts; empty for a request on a public
   // route without a valid key. Follows the configuration in force.
   std::optional<AccountName> account;
-  AccountName cap_account;  // from whose cap the request was taken
-  int64_t cap_cost = 0;     // 0 if it was taken from none
-  int priority = 0;         // of the account, else of the route
+  CapCharge charge;  // to be given back if the request does not run
+  int priority = 0;  // of the account, else of the route
   bool reserves_place = false;
   // Time that earlier attempts of the client took.
   absl::Duration spent_before = absl::ZeroDuration();
--- a/lib/dispatch/account_limiter.cc
+++ b/lib/dispatch/account_limiter.cc
@@ -110,6 +110,7 @@
       // Empty: a window may span a restart of this front or of all fronts.
       bucket.cap = it.cap;
       bucket.updated = now;
+      bucket.number = BucketNumber(++last_number_);
       continue;
     }
     Bucket bucket = std::move(known->second);
@@ -159,11 +160,13 @@
 
 AccountVerdict AccountLimiter::TryTake(const AccountName& account, int64_t cost,
                                        absl::Time now) {
+  AccountVerdict verdict;
+  verdict.charge = {account, cost, BucketNumber()};
   auto it = buckets_.find(IdOfAccount(account));
-  if (it == buckets_.end()) return {};
+  if (it == buckets_.end()) return verdict;
   Bucket& bucket = it->second;
+  verdict.charge.bucket = bucket.number;
   Refill(bucket, now);
-  AccountVerdict verdict;
   verdict.left = static_cast<int64_t>(bucket.level);
   // A request larger than the bucket runs when the bucket is full: an account
   // that asked for nothing else is not refused for ever.
@@ -179,22 +182,22 @@
     return verdict;
   }
   Charge(bucket, cost, now);
-  // Peers have forgotten the total of an account that was not used for long.
-  if (IsIdle(bucket, now)) bucket.own = {bucket.own.series + 1, 0};
+  // Peers have forgotten the total of an account that was not used for long,
+  // and may know one of an earlier bucket.
+  if (IsIdle(bucket, now)) bucket.own = {++last_number_, 0};
   bucket.own.total += cost;
   bucket.last_own_use = now;
   bucket.untold += cost;
   return verdict;
 }
 
-void AccountLimiter::Return(const AccountName& account, int64_t cost,
-                            absl::Time now) {
-  auto it = buckets_.find(IdOfAccount(account));
-  if (it == buckets_.end()) return;
+void AccountLimiter::Return(const CapCharge& charge, absl::Time now) {
+  auto it = buckets_.find(IdOfAccount(charge.account));
+  if (it == buckets_.end() || it->second.number != charge.bucket) return;
   Bucket& bucket = it->second;
-  Charge(bucket, -cost, now);
-  bucket.own.total -= cost;
-  bucket.untold = std::max<int64_t>(0, bucket.untold - cost);
+  Charge(bucket, -charge.cost, now);
+  bucket.own.total -= charge.cost;
+  bucket.untold = std::max<int64_t>(0, bucket.untold - charge.cost);
 }
 
 void AccountLimiter::MarkTold(absl::Time now) {
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -171,8 +171,7 @@
       context_.accounts.TryTake(account->name, cost, loop_.Now());
   AccountStats& stats = context_.stats.OfAccount(account->name.value());
   if (verdict.IsAdmitted()) {
-    admitted.cap_account = account->name;
-    admitted.cap_cost = cost;
+    admitted.charge = verdict.charge;
     ++stats.admitted;
     return verdict;
   }
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -172,13 +172,12 @@
 }
 
 void Relay::SettleCap() {
-  if (admitted_.cap_cost == 0) return;
+  const CapCharge& charge = admitted_.charge;
+  if (charge.cost == 0) return;
   bool has_run = MayHaveRun();
-  if (!has_run) {
-    context_.accounts.Return(admitted_.cap_account, admitted_.cap_cost, Now());
-  }
-  context_.stats.OfAccount(admitted_.cap_account.value())
-      .CountDone(has_run, admitted_.cap_cost);
+  if (!has_run) context_.accounts.Return(charge, Now());
+  context_.stats.OfAccount(charge.account.value())
+      .CountDone(has_run, charge.cost);
 }
 
 void Relay::Log(absl::string_view event, absl::string_view backend,
--- a/unittests/dispatch/account_limiter_test.cc
+++ b/unittests/dispatch/account_limiter_test.cc
@@ -87,7 +87,7 @@
       window_sum_ += cost;
     } else {
       returns_.push_back({now_ + absl::Milliseconds(Draw(1, 900)), front,
-                          it.incarnation, cost});
+                          it.incarnation, verdict.charge});
     }
   }
 
@@ -140,7 +140,7 @@
     absl::Time due;
     size_t front = 0;
     uint64_t incarnation = 0;
-    int64_t cost = 0;
+    CapCharge charge;
   };
 
   struct HeldRequest {
@@ -240,7 +240,7 @@
       }
       Front& front = fronts_[it->front];
       if (front.limiter && front.incarnation == it->incarnation) {
-        front.limiter->Return(kAccount, it->cost, now_);
+        front.limiter->Return(it->charge, now_);
       }
       it = returns_.erase(it);
     }
@@ -367,15 +367,57 @@
   absl::Time now = kStart + absl::Minutes(1);
   two.OnPeerReport("one", 1, one.OwnTotals(now), now);
   int64_t full = two.LevelOf(kAccount, now)->left;
-  CHECK(one.TryTake(kAccount, 5000, now).IsAdmitted());
+  AccountVerdict taken = one.TryTake(kAccount, 5000, now);
+  CHECK(taken.IsAdmitted());
   two.OnPeerUpdate("one", one.OwnTotals(now), now);
   CHECK(two.LevelOf(kAccount, now)->left == full - 5000);
-  one.Return(kAccount, 5000, now);
+  one.Return(taken.charge, now);
   CHECK(one.LevelOf(kAccount, now)->left == full);
   two.OnPeerUpdate("one", one.OwnTotals(now), now);
   CHECK(two.LevelOf(kAccount, now)->left == full);
 }
 
+// Guards against use that is given back though it was never taken: the totals
+// that peers know, and open requests, outlive the bucket.
+TEST_CASE("an account that comes back has taken nothing yet", "[accounts]") {
+  AccountTable other({{AccountName("other"), {}, {}, {}}});
+  AccountTable by_requests = TableWith(100000, 100000);
+  {
+    ClientAccount account = by_requests.all().front();
+    account.cap.unit = AccountCap::Unit::kRequests;
+    by_requests = AccountTable({account});
+  }
+  // What comes between: the account is gone, has no cap, or another unit.
+  for (const AccountTable& between : {other, TableWith(0, 0), by_requests}) {
+    AccountLimiter one(Tolerance());
+    AccountLimiter two(Tolerance());
+    auto apply = [&](const AccountTable& table, absl::Time now) {
+      one.SetAccounts(table, now);
+      two.SetAccounts(table, now);
+    };
+    apply(TableWith(100000, 100000), kStart);
+    for (AccountLimiter* it : {&one, &two}) it->SetFleet(2, 2);
+    absl::Time now = kStart + absl::Minutes(1);
+    two.OnPeerReport("one", 1, one.OwnTotals(now), now);
+    AccountVerdict taken = one.TryTake(kAccount, 50000, now);
+    REQUIRE(taken.IsAdmitted());
+    two.OnPeerUpdate("one", one.OwnTotals(now), now);
+    apply(between, now);
+    AccountVerdict uncapped = one.TryTake(kAccount, 1, now);
+    apply(TableWith(100000, 100000), now);
+    now += absl::Milliseconds(500);
+    int64_t left = two.LevelOf(kAccount, now)->left;
+    CHECK(one.LevelOf(kAccount, now)->left == left);
+    one.Return(taken.charge, now);
+    one.Return(uncapped.charge, now);
+    CHECK(one.LevelOf(kAccount, now)->left == left);
+    REQUIRE(one.TryTake(kAccount, 1000, now).IsAdmitted());
+    two.OnPeerUpdate("one", one.OwnTotals(now), now);
+    CHECK(one.LevelOf(kAccount, now)->left == left - 1000);
+    CHECK(two.LevelOf(kAccount, now)->left == left - 1000);
+  }
+}
+
 TEST_CASE("a peer heard again is charged what it used beyond its share",
           "[accounts]") {
   AccountLimiter limiter(Tolerance());
