Answer without a body was sent with the last chunk of one on streaming routes

What callers saw: an engine's 204 or 304 on a streaming route arrived with "Transfer-Encoding: chunked" and the bytes "0 CR LF CR LF". Such an answer ends with its head (RFC 9112, 6.3), so a client that keeps the connection takes the bytes for the begin of the next answer. Cause: BeginStream framed each stream in chunks, whatever its status. Respond, which answers calls, has looked at the status all along. Change: a stream whose status allows no body is its head alone. Evidence: the new case on the code before: the field and 17 bytes after the head, for both statuses and both answers of a kept connection; none now.

--- a/include/chervilwick/net/http_message.h
+++ b/include/chervilwick/net/http_message.h
@@ -127,7 +127,10 @@
 absl::string_view EncodedBody(const HttpResponse& response);
 // Serialized response with the length of its body.
 std::string EncodeResponse(const HttpResponse& response, bool keep_alive);
-// Serialized head of a response whose body is sent in chunks.
+// Whether a response with that status, which is 200 or above, may have a body.
+bool MayHaveBody(int status);
+// Serialized head of a response whose body, if it may have one, is sent in
+// chunks.
 std::string EncodeChunkedHead(int status, const std::vector<HttpField>& fields,
                               bool keep_alive);
 std::string EncodeChunk(absl::string_view bytes);
--- a/lib/net/http_message.cc
+++ b/lib/net/http_message.cc
@@ -89,10 +89,6 @@
   return (parser.flags & F_CHUNKED) == 0 && parser.content_length == UINT64_MAX;
 }
 
-bool MayHaveBody(int status) {
-  return status != kNoContent && status != kNotModified;
-}
-
 std::string StatusLine(int status) {
   const char* reason = http_status_str(static_cast<http_status>(status));
   return absl::StrCat("HTTP/1.1 ", status, " ", reason, kLineEnd);
@@ -100,6 +96,10 @@
 
 }  // namespace
 
+bool MayHaveBody(int status) {
+  return status != kNoContent && status != kNotModified;
+}
+
 const std::string* HttpHead::Find(absl::string_view name) const {
   for (const HttpField& it : fields) {
     if (absl::EqualsIgnoreCase(it.name, name)) return &it.value;
@@ -353,9 +353,10 @@
 
 std::string EncodeChunkedHead(int status, const std::vector<HttpField>& fields,
                               bool keep_alive) {
-  return absl::StrCat(StatusLine(status), FieldLines(fields),
-                      "Transfer-Encoding: chunked\r\n",
-                      keep_alive ? "" : "Connection: close\r\n", kLineEnd);
+  return absl::StrCat(
+      StatusLine(status), FieldLines(fields),
+      MayHaveBody(status) ? "Transfer-Encoding: chunked\r\n" : "",
+      keep_alive ? "" : "Connection: close\r\n", kLineEnd);
 }
 
 std::string EncodeChunk(absl::string_view bytes) {
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -112,11 +112,12 @@
   }
 
   void BeginStream(int status, const std::vector<HttpField>& fields) {
+    stream_has_body_ = MayHaveBody(status);
     Write(EncodeChunkedHead(status, fields, KeepsOpen()));
   }
 
   void SendStream(absl::string_view bytes) {
-    if (!bytes.empty()) Write(EncodeChunk(bytes));
+    if (!bytes.empty() && stream_has_body_) Write(EncodeChunk(bytes));
     if (OutputBytes() > server_.limits_.max_output_bytes) {
       // From the loop, not from inside the sender's call.
       stalled_ = true;
@@ -125,7 +126,7 @@
   }
 
   void EndStream() {
-    Write("0\r\n\r\n");
+    if (stream_has_body_) Write("0\r\n\r\n");
     FinishExchange();
   }
 
@@ -404,6 +405,7 @@
   bool has_sent_ = false;  // a request
   bool keep_alive_ = true;
   bool ending_ = false;
+  bool stream_has_body_ = true;
   bool stalled_ = false;  // takes its output too slowly
   bool detached_ = false;
   int rejection_ = 0;
--- a/unittests/net/exchange_test.cc
+++ b/unittests/net/exchange_test.cc
@@ -147,6 +147,33 @@
   CHECK(seen.failure->sent);
 }
 
+// Guards against the last chunk of a body that there may not be: the client
+// takes its bytes for the begin of the next answer.
+TEST_CASE("a stream whose status allows no body is its head alone", "[net]") {
+  for (int status : {204, 304}) {
+    EventHttpServer* server = nullptr;
+    Exchange it({[&](ExchangeId id, const Endpoint&, const HttpRequest&) {
+                   server->BeginStream(id, status, {});
+                   server->SendStream(id, "no body");
+                   server->EndStream(id);
+                 },
+                 [](ExchangeId) {}});
+    server = &it.server;
+    int socket = ConnectRaw(it.address);
+    std::string bytes = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (int n = 0; n < 2; ++n) {
+      REQUIRE(write(socket, bytes.data(), bytes.size()) ==
+              static_cast<ssize_t>(bytes.size()));
+      it.loop.RunFor(kSoon);
+      std::string answer = ReadAvailable(socket);
+      CHECK(answer.find(absl::StrCat("HTTP/1.1 ", status)) == 0);
+      CHECK(answer.find("Transfer-Encoding") == std::string::npos);
+      CHECK(answer.find("\r\n\r\n") == answer.size() - 4);
+    }
+    close(socket);
+  }
+}
+
 TEST_CASE("a client that goes away is noticed", "[net]") {
   int gone = 0;
   Exchange it({[](ExchangeId, const Endpoint&, const HttpRequest&) {},
