Names outside ASCII were unreadable in the log

What callers saw: nothing; an operator who looks for an account by its name finds no line if the name has letters outside ASCII, since versions with such names come into force. Cause: the log wrote each byte above 0x7e as the character of that number, so the two bytes of one letter became two other letters. Change: characters of UTF-8 stand as they are; bytes that are none are written as before. Evidence: two new cases; the account's name was "\u00c3\u009c..." in the line before.

--- a/lib/telemetry/decision_log.cc
+++ b/lib/telemetry/decision_log.cc
@@ -14,6 +14,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "chervilwick/support/overloaded.h"
+#include "chervilwick/support/utf8.h"
 
 namespace chervilwick {
 namespace {
@@ -23,15 +24,20 @@
 
 void AppendText(std::string& out, absl::string_view text) {
   out += '"';
-  for (unsigned char c : text.substr(0, kMaxText)) {
-    if (c == '"' || c == '\\') {
-      out += '\\';
-      out += static_cast<char>(c);
-    } else if (c < 0x20 || c >= 0x7f) {
+  text = text.substr(0, kMaxText);
+  while (!text.empty()) {
+    size_t length = Utf8Length(text);
+    auto c = static_cast<unsigned char>(text[0]);
+    // A byte that is no character is written as the one of that number.
+    bool is_escaped = length == 0 || c < 0x20 || c == 0x7f;
+    length = std::max<size_t>(length, 1);
+    if (is_escaped) {
       absl::StrAppendFormat(&out, "\\u%04x", c);
     } else {
-      out += static_cast<char>(c);
+      if (c == '"' || c == '\\') out += '\\';
+      absl::StrAppend(&out, text.substr(0, length));
     }
+    text.remove_prefix(length);
   }
   out += '"';
 }
--- a/unittests/support/support_test.cc
+++ b/unittests/support/support_test.cc
@@ -8,6 +8,7 @@
 #include "chervilwick/support/hash.h"
 #include "chervilwick/support/host_port.h"
 #include "chervilwick/support/ids.h"
+#include "chervilwick/support/utf8.h"
 
 namespace chervilwick {
 namespace {
@@ -46,6 +47,21 @@
   CHECK(HashWords("one twothree") != whole);
 }
 
+TEST_CASE("characters of UTF-8 are told from other bytes", "[support]") {
+  for (const char* text :
+       {"a", "\x7f", "\xc2\x80", "\xdf\xbf", "\xe0\xa0\x80", "\xed\x9f\xbf",
+        "\xee\x80\x80", "\xf0\x90\x80\x80", "\xf4\x8f\xbf\xbf"}) {
+    CHECK(Utf8Length(text) == std::string(text).size());
+    CHECK(Utf8Length(std::string(text) + "\x80") == std::string(text).size());
+  }
+  for (const char* text :
+       {"", "\x80", "\xc1\xbf", "\xc2", "\xc2(", "\xe0\x9f\xbf", "\xed\xa0\x80",
+        "\xe1\x80", "\xf0\x8f\xbf\xbf", "\xf4\x90\x80\x80", "\xf5\x80\x80\x80",
+        "\xff", "\xf1\x80\x80("}) {
+    CHECK(Utf8Length(text) == 0);
+  }
+}
+
 TEST_CASE("addresses are split", "[support]") {
   HostPort split = SplitAddress("10.0.0.1:80");
   CHECK(split.host == "10.0.0.1");
--- a/unittests/telemetry/decision_log_test.cc
+++ b/unittests/telemetry/decision_log_test.cc
@@ -69,6 +69,22 @@
   CHECK(line["long"].get<std::string>().size() == 200);
 }
 
+// Guards against names of accounts that no search of the log finds.
+TEST_CASE("a log line has letters of any language as they are", "[telemetry]") {
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), "front-1");
+  std::string name = "\xc3\x9c\xc3\xb1 \xe6\x9d\xb1 \xf0\x9f\x90\x9f";
+  std::string cut(199, 'x');
+  log.Write(kNow, "sent",
+            {{"account", name}, {"odd", "\xc3(\x7f"}, {"cut", cut + name}});
+  log.Flush();
+  nlohmann::json line = nlohmann::json::parse(pipe.Read());
+  CHECK(line["account"] == name);
+  // Bytes that are no character are those of Latin-1.
+  CHECK(line["odd"] == "\xc3\x83(\x7f");
+  CHECK(line["cut"] == cut + "\xc3\x83");
+}
+
 TEST_CASE("the last lines reach a reader that is late at the exit",
           "[telemetry]") {
   Pipe pipe;
