Front tests: one place that keeps the heads of runs

Cause: three files had the same loop over the stand-ins of servers. Change: TestDeployment::RecordRuns. No check has changed.

--- a/unittests/front/accounts_test.cc
+++ b/unittests/front/accounts_test.cc
@@ -27,14 +27,7 @@
     store.Put("op/config", ConfigWithAccounts(2).dump());
     Start();
     extra_fields = {{"Authorization", absl::StrCat("Bearer ", kKey)}};
-    for (auto& it : engines) {
-      it.second->CrashOn(
-          [this](const HttpRequest& request) {
-            seen.push_back(request.head);
-            return false;
-          },
-          PlatformEngine::CrashMode::kClosed, absl::Seconds(1), [] {});
-    }
+    RecordRuns();
   }
   void Use(const std::string& key) {
     extra_fields = {{"Authorization", "Bearer " + key}};
@@ -43,8 +36,6 @@
     store.Put("op/config", config.dump());
     loop.RunFor(absl::Milliseconds(400));
   }
-
-  std::vector<HttpHead> seen;  // that engines ran
 };
 
 TEST_CASE("a request with a key runs for its account, others get 401",
--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -183,6 +183,17 @@
   loop.RunFor(absl::Milliseconds(200));
 }
 
+void TestDeployment::RecordRuns() {
+  for (auto& it : engines) {
+    it.second->CrashOn(
+        [this](const HttpRequest& request) {
+          seen.push_back(request.head);
+          return false;
+        },
+        PlatformEngine::CrashMode::kClosed, absl::Seconds(1), [] {});
+  }
+}
+
 void TestDeployment::SetFaults(const std::vector<std::string>& ids, Fault fault,
                                int count) {
   for (const std::string& it : ids) engines.at(it)->SetFault(fault, count);
--- a/unittests/front/deployment.h
+++ b/unittests/front/deployment.h
@@ -48,6 +48,9 @@
   void SetFaults(const std::vector<std::string>& ids, Fault fault,
                  int count = 1000000);
 
+  // From now on, the heads of requests that servers run are kept.
+  void RecordRuns();
+
   // Sends a request. The answer is filled while the loop runs. If `body` is
   // empty, each POST gets a unique one.
   std::shared_ptr<Answer> SendRequest(const std::string& method,
@@ -74,6 +77,7 @@
   std::unique_ptr<FrontDaemon> front;
   CallId last_call;
   std::vector<HttpField> extra_fields;  // of each request
+  std::vector<HttpHead> seen;  // of runs, see RecordRuns
   int last_id = 0;  // request ids are "id1", "id2" and so on
   std::FILE* log = nullptr;
 };
--- a/unittests/front/key_holders_test.cc
+++ b/unittests/front/key_holders_test.cc
@@ -29,14 +29,7 @@
     Start();
     extra_fields = {{"Authorization", absl::StrCat("Bearer ", kKey)},
                     {"X-Tenant", "forged"}};
-    for (auto& it : engines) {
-      it.second->CrashOn(
-          [this](const HttpRequest& request) {
-            seen.push_back(request.head);
-            return false;
-          },
-          PlatformEngine::CrashMode::kClosed, absl::Seconds(1), [] {});
-    }
+    RecordRuns();
   }
   // Null for a configuration without accounts.
   Json Config(const Json& accounts) {
@@ -63,7 +56,6 @@
   std::string LastAccount() const { return seen.back().Get("X-Tenant"); }
 
   uint64_t version = 1;
-  std::vector<HttpHead> seen;  // that engines ran
 };
 
 // Guards against 401 for requests whose key is held by another account than the
--- a/unittests/front/partial_versions_test.cc
+++ b/unittests/front/partial_versions_test.cc
@@ -133,14 +133,7 @@
   explicit PartialDeployment(const Json& config) {
     store.Put("op/config", config.dump());
     Start();
-    for (auto& it : engines) {
-      it.second->CrashOn(
-          [this](const HttpRequest& request) {
-            seen.push_back(request.head);
-            return false;
-          },
-          PlatformEngine::CrashMode::kClosed, absl::Seconds(1), [] {});
-    }
+    RecordRuns();
   }
   void Put(const std::string& config) {
     store.Put("op/config", config);
@@ -174,8 +167,6 @@
     CHECK(StatusOf("/book/x", kAdded, address) == 200);
     CHECK(StatusOf("/note/x", kKept, address) == 200);
   }
-
-  std::vector<HttpHead> seen;  // that engines ran
 };
 
 // Guards against a version that is out of force as a whole for one part of it:
