Parts that can't be used: a bound on how many are listed

Cause: a list of a million odd entries fits in a stored version, and each was listed with its path, twice: more than a small host's memory. Change: the first 100 are listed, the rest are counted. Result: the new case lists 100 of 100,000 and counts all.

--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -94,8 +94,10 @@
   ClientLimits limits;
   // If set, requests on routes that are not public need an account's key.
   std::optional<AccountTable> accounts;
-  // What is left out above.
+  // What is left out above, and how much more of it there is than is listed.
+  static constexpr size_t kMaxListedDefects = 100;
   std::vector<ConfigDefect> defects;
+  uint64_t unlisted_defects = 0;
 
   // Returns the route of that host (case and port ignored) with the longest
   // prefix of the target's path; null if there is none.
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -51,9 +51,6 @@
 // learn its result.
 constexpr double kMaxNoticeJitter = 1.6;
 
-// Lines about unusable parts of one version; the metric counts all of them.
-constexpr size_t kMaxLoggedDefects = 100;
-
 // Fronts try a request with a part that was blamed for crashes at different
 // times within that span after its quarantine.
 constexpr absl::Duration kMaxTrialDelay = absl::Seconds(60);
@@ -262,9 +259,7 @@
 }
 
 void FrontDaemon::LogDefects() {
-  size_t logged = 0;
   for (const ConfigDefect& it : table_.defects) {
-    if (logged++ == kMaxLoggedDefects) break;
     context_.log.Write(loop_.Now(), "version_part_unusable",
                        {{"version", table_.version.value()},
                         {"path", it.path},
@@ -298,7 +293,7 @@
                         ? static_cast<uint64_t>(table_.accounts->all().size())
                         : uint64_t{0}},
        {"urgent_priority", table_.UrgentPriority().value_or(-1)},
-       {"unusable_parts", static_cast<uint64_t>(table_.defects.size())}});
+       {"unusable_parts", table_.defects.size() + table_.unlisted_defects}});
   LogDefects();
   std::vector<ExchangeId> ids;
   for (const auto& it : relays_) ids.push_back(it.first);
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -187,6 +187,7 @@
 void AddDefects(const RouteTable& table, SampleList& list) {
   std::map<std::string, size_t> counts;
   for (const ConfigDefect& it : table.defects) ++counts[PartOf(it.path)];
+  if (table.unlisted_defects > 0) counts["other"] = table.unlisted_defects;
   for (const auto& [part, count] : counts) {
     list.Gauge("front_version_parts_unusable",
                "Parts of the version in force that can't be used.",
--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -273,6 +273,16 @@
   }
 }
 
+// Guards against a list of defects that takes the memory of a host.
+TEST_CASE("defects of a configuration are listed up to a bound and counted",
+          "[platform][odd]") {
+  Json config = Config();
+  config["tenants"] = Json(std::vector<int>(100000, 0));
+  auto table = std::get<RouteTable>(Parse("op/config", config.dump()));
+  CHECK(table.defects.size() == RouteTable::kMaxListedDefects);
+  CHECK(table.defects.size() + table.unlisted_defects == 100000);
+}
+
 TEST_CASE("a time without end in a configuration is a long one",
           "[platform][odd]") {
   ParsedStoreItem item =
