--- a/unittests/front/deployment.h
+++ b/unittests/front/deployment.h
@@ -77,7 +77,7 @@
   std::unique_ptr<FrontDaemon> front;
   CallId last_call;
   std::vector<HttpField> extra_fields;  // of each request
-  std::vector<HttpHead> seen;  // of runs, see RecordRuns
+  std::vector<HttpHead> seen;           // of runs, see RecordRuns
   int last_id = 0;  // request ids are "id1", "id2" and so on
   std::FILE* log = nullptr;
 };
