Log and metrics of the store's era, and of items passed over as older

Cause: a front that runs through a return of the store from an older copy leaves no trace of it: neither the return nor the items that it takes for older ones than it knows are logged or counted. Change: the era that the store states is read from the head of each answer; a line store_era names it with the revision and version known before, /status has store_era, and front_store_items_outdated_total counts what is passed over. No decision depends on it. The stand-in of the store states its era, keeps copies and returns from them, and knows which leases it granted.

--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -72,7 +72,8 @@
   uint64_t answers_given_up = 0;  // for want of memory
   uint64_t quarantined = 0;
   uint64_t malformed_items = 0;
-  uint64_t stalls = 0;  // times that the process did not run
+  uint64_t outdated_items = 0;  // older than what is known of their key
+  uint64_t stalls = 0;          // times that the process did not run
   std::map<std::string, uint64_t> store_calls;  // by outcome
   uint64_t peer_datagrams_in = 0;
   uint64_t peer_datagrams_bad = 0;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -15,6 +15,7 @@
 #include "chervilwick/dispatch/backend_record.h"
 #include "chervilwick/dispatch/crash_suspects.h"
 #include "chervilwick/dispatch/route_table.h"
+#include "chervilwick/front/store_revision.h"
 #include "chervilwick/net/http_message.h"
 
 namespace chervilwick {
@@ -147,6 +148,8 @@
                                 const std::string& after_key) const = 0;
   virtual HttpRequest WatchStore(uint64_t after_revision,
                                  absl::Duration wait) const = 0;
+  // Era that the head of a store's answer states; nullopt if it states none.
+  virtual std::optional<StoreEra> ParseStoreEra(const HttpHead& head) const = 0;
   virtual std::optional<StorePage> ParsePage(absl::string_view body) const = 0;
   virtual std::optional<StorePage> ParseWatch(absl::string_view body) const = 0;
   virtual ParsedStoreItem ParseItem(const StoreItem& item) const = 0;
--- /dev/null
+++ b/include/chervilwick/front/store_revision.h
@@ -0,0 +1,41 @@
+// Position in the history of the store.
+
+#ifndef CHERVILWICK_FRONT_STORE_REVISION_H_
+#define CHERVILWICK_FRONT_STORE_REVISION_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <ostream>
+#include <tuple>
+
+#include "chervilwick/support/strong_type.h"
+
+namespace chervilwick {
+
+// Number of times that the store returned from an older copy. Zero if the store
+// states none.
+using StoreEra = StrongType<struct StoreEraTag, uint64_t>;
+
+// Revision of the store. The store gives out numbers again after its return
+// from a copy, so that only revisions of one era can be compared by number.
+struct StoreRevision {
+  StoreEra era;
+  uint64_t number = 0;
+
+  friend bool operator==(const StoreRevision& a, const StoreRevision& b) {
+    return a.era == b.era && a.number == b.number;
+  }
+  friend bool operator<(const StoreRevision& a, const StoreRevision& b) {
+    return std::tie(a.era, a.number) < std::tie(b.era, b.number);
+  }
+  friend bool operator<=(const StoreRevision& a, const StoreRevision& b) {
+    return !(b < a);
+  }
+  friend std::ostream& operator<<(std::ostream& out, const StoreRevision& it) {
+    return out << it.era << ":" << it.number;
+  }
+};
+
+}  // namespace chervilwick
+
+#endif  // CHERVILWICK_FRONT_STORE_REVISION_H_
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -39,6 +39,7 @@
   bool has_backends() const { return has_backends_; }
   bool is_reachable() const { return !plan_.IsOutage(); }
   uint64_t revision() const { return revision_; }
+  StoreEra era() const { return era_; }
   absl::Time last_answer() const { return last_answer_; }
 
   // Encodes the stored items by key, for another front.
@@ -56,6 +57,7 @@
   static StoreSection SectionOf(Step step);
   void Call();
   void OnEvent(CallEvent event);
+  void OnHead(const HttpHead& head);
   void OnAnswer();
   void OnPage();
   void OnWatch();
@@ -83,6 +85,7 @@
   int status_ = 0;
   std::string body_;
   std::string after_key_;
+  StoreEra era_;
   uint64_t load_revision_ = 0;
   uint64_t revision_ = 0;
   VersionNumber version_;        // newest number that was read
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -167,6 +167,9 @@
         stats.quarantined);
   count("front_store_items_malformed_total", "Store items that name nothing.",
         stats.malformed_items);
+  count("front_store_items_outdated_total",
+        "Store items that were passed over as older than known ones.",
+        stats.outdated_items);
   count("front_process_stalls_total", "Times that the process stood still.",
         stats.stalls);
   count("front_peer_datagrams_bad_total", "Datagrams that were no digest.",
@@ -277,6 +280,7 @@
       {"ready", IsReady()},
       {"version", table_.version.value()},
       {"unusable_parts", defects},
+      {"store_era", store_.era().value()},
       {"store_revision", store_.revision()},
       {"store_reachable", store_.is_reachable()},
       {"store_age_ms", MillisecondsOrNull(now - store_.last_answer())},
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -114,7 +114,7 @@
 void StoreSync::OnEvent(CallEvent event) {
   std::visit(
       Overloaded{
-          [&](HttpHead& head) { status_ = head.status; },
+          [&](HttpHead& head) { OnHead(head); },
           [&](HttpBodyPart& part) { absl::StrAppend(&body_, part.bytes); },
           [&](HttpEnd&) { OnAnswer(); },
           [&](CallFailure&) { OnFailure(StoreCallFailure::kDropped); },
@@ -122,6 +122,18 @@
       event);
 }
 
+void StoreSync::OnHead(const HttpHead& head) {
+  status_ = head.status;
+  std::optional<StoreEra> era = context_.protocol.ParseStoreEra(head);
+  if (!era || *era == era_) return;
+  context_.log.Write(context_.loop.Now(), "store_era",
+                     {{"before", era_.value()},
+                      {"era", era->value()},
+                      {"revision", revision_},
+                      {"version", version_.value()}});
+  era_ = *era;
+}
+
 void StoreSync::OnAnswer() {
   timeout_.Cancel();
   ++context_.stats.store_calls[absl::StrCat(status_)];
@@ -251,7 +263,10 @@
 
 void StoreSync::Apply(const StoreItem& item) {
   auto known = items_.find(item.key);
-  if (known != items_.end() && known->second.revision > item.revision) return;
+  if (known != items_.end() && known->second.revision > item.revision) {
+    ++context_.stats.outdated_items;
+    return;
+  }
   if (item.removed) malformed_.erase(item.key);
   ParsedStoreItem fact = context_.protocol.ParseItem(item);
   auto* record = std::get_if<BackendRecord>(&fact);
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 names='chervilwick/(kv-|hold-|report|order|readyz)|X-(Response-Stamp'
 names+='|Expect-|Not-Run|Tenant|Server-Load|Kv-|Stage|Token-Count'
-names+='|Prompt-Prefix|Pin-Ms|Length-Hint)|"(goal_ms|api_keys|tenants|plain_tokens|gap_goal_ms|kv_capacity'
+names+='|Prompt-Prefix|Pin-Ms|Length-Hint)|Store-Era|"(goal_ms|api_keys|tenants|plain_tokens|gap_goal_ms|kv_capacity'
 names+='|current_rev|set_keys|cold_left_ms)"'
 status=0
 if git grep -nE "$names" -- lib include tools; then
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -77,26 +77,38 @@
 
 void PlatformStore::PutWithoutNotify(const std::string& key,
                                      const std::string& value) {
-  items_[key] = {value, ++revision_, 0};
-  history_.push_back({key, revision_, false});
+  state_.items[key] = {value, ++state_.revision, 0};
+  state_.history.push_back({key, state_.revision, false});
 }
 
 void PlatformStore::Remove(const std::string& key) {
-  items_.erase(key);
-  history_.push_back({key, ++revision_, true});
+  state_.items.erase(key);
+  state_.history.push_back({key, ++state_.revision, true});
   NotifyWatches();
 }
 
 void PlatformStore::CompactHistory() {
-  history_.clear();
-  compacted_revision_ = revision_;
+  state_.history.clear();
+  state_.compacted_revision = state_.revision;
   for (Watch& it : watches_) Reply(it.id, 410, Json::object());
   watches_.clear();
 }
 
+void PlatformStore::KeepCopy() { copy_ = state_; }
+
+void PlatformStore::ReturnFromCopy() {
+  state_ = copy_;
+  ++era_;
+  std::list<Watch> cut = std::move(watches_);
+  watches_.clear();
+  for (const Watch& it : cut) server_.Abort(it.id);
+}
+
 void PlatformStore::Reply(ExchangeId id, int status, const Json& body) {
-  server_.Respond(
-      id, {status, {{"Content-Type", "application/json"}}, body.dump()});
+  server_.Respond(id, {status,
+                       {{"Content-Type", "application/json"},
+                        {"Store-Era", absl::StrCat(era_)}},
+                       body.dump()});
 }
 
 void PlatformStore::OnRequest(ExchangeId id, const HttpRequest& request) {
@@ -118,8 +130,14 @@
   } else if (path == "/chervilwick/kv-txn") {
     HandleTransaction(id, body);
   } else if (path == "/chervilwick/kv-lease") {
+    state_.leases.insert(next_lease_);
     Reply(id, 200, {{"lease", next_lease_++}, {"ttl_ms", body["ttl_ms"]}});
   } else if (absl::StartsWith(path, "/chervilwick/kv-keep/")) {
+    std::string lease = path.substr(path.rfind('/') + 1);
+    if (state_.leases.count(ParseUint(lease)) == 0) {
+      Reply(id, 404, Json::object());
+      return;
+    }
     held_renewals_.push_back(id);
     if (!holds_renewals_) AnswerRenewals(200);
   } else {
@@ -134,7 +152,7 @@
 }
 
 Json PlatformStore::ItemJson(const std::string& key) const {
-  const Item& item = items_.at(key);
+  const Item& item = state_.items.at(key);
   return {{"key", key},
           {"value", absl::Base64Escape(item.value)},
           {"rev", item.revision},
@@ -144,22 +162,24 @@
 
 void PlatformStore::HandleRange(ExchangeId id, const std::string& prefix) {
   Json items = Json::array();
-  for (const auto& it : items_) {
+  for (const auto& it : state_.items) {
     if (absl::StartsWith(it.first, prefix)) items.push_back(ItemJson(it.first));
   }
   Reply(id, 200,
-        {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
+        {{"items", items},
+         {"has_more", false},
+         {"current_rev", state_.revision}});
 }
 
 void PlatformStore::HandleWatch(ExchangeId id, uint64_t after,
                                 absl::Duration wait) {
-  if (after < compacted_revision_) {
+  if (after < state_.compacted_revision || after > state_.revision) {
     Reply(id, 410, Json::object());
     return;
   }
   watches_.push_back({id, after, nullptr});
   Watch& watch = watches_.back();
-  if (revision_ > after) {
+  if (state_.revision > after) {
     AnswerWatch(watch);
     watches_.pop_back();
     return;
@@ -178,16 +198,16 @@
 
 void PlatformStore::AnswerWatch(Watch& watch) {
   Json events = Json::array();
-  for (const Change& it : history_) {
+  for (const Change& it : state_.history) {
     if (it.revision <= watch.after) continue;
     if (it.removed) {
       events.push_back(
           {{"key", it.key}, {"rev", it.revision}, {"removed", true}});
-    } else if (items_.count(it.key) != 0) {
+    } else if (state_.items.count(it.key) != 0) {
       events.push_back(ItemJson(it.key));
     }
   }
-  Reply(watch.id, 200, {{"events", events}, {"current_rev", revision_}});
+  Reply(watch.id, 200, {{"events", events}, {"current_rev", state_.revision}});
 }
 
 void PlatformStore::NotifyWatches() {
@@ -199,19 +219,25 @@
 
 void PlatformStore::HandleTransaction(ExchangeId id, const Json& body) {
   for (const Json& it : body["expected"]) {
-    auto item = items_.find(it["key"].get<std::string>());
-    uint64_t revision = item == items_.end() ? 0 : item->second.revision;
+    auto item = state_.items.find(it["key"].get<std::string>());
+    uint64_t revision = item == state_.items.end() ? 0 : item->second.revision;
     if (revision != it["rev"].get<uint64_t>()) {
       Reply(id, 412, {{"items", Json::array()}});
       return;
     }
   }
+  for (const Json& it : body["set_keys"]) {
+    if (state_.leases.count(it.value("lease", uint64_t{0})) == 0) {
+      Reply(id, 404, Json::object());
+      return;
+    }
+  }
   for (const Json& it : body["set_keys"]) {
     std::string value;
     absl::Base64Unescape(it["value"].get<std::string>(), &value);
     Put(it["key"].get<std::string>(), value);
   }
-  Reply(id, 200, {{"rev", revision_}});
+  Reply(id, 200, {{"rev", state_.revision}});
 }
 
 PlatformEngine::PlatformEngine(EventLoop& loop, Options options)
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -40,10 +40,17 @@
   void HoldRenewals() { holds_renewals_ = true; }
   void AnswerRenewals(int status);
   size_t held_renewals() const { return held_renewals_.size(); }
+  void KeepCopy();
+  // Returns from the kept copy: later changes and leases are lost, revisions
+  // are given out again, and the era rises.
+  void ReturnFromCopy();
+  uint64_t revision() const { return state_.revision; }
   // Discards the history. Open watches and watches that start at an older
   // revision get status 410.
   void CompactHistory();
-  bool Has(const std::string& key) const { return items_.count(key) != 0; }
+  bool Has(const std::string& key) const {
+    return state_.items.count(key) != 0;
+  }
   uint64_t calls() const { return calls_; }
 
  private:
@@ -57,6 +64,14 @@
     uint64_t revision = 0;
     bool removed = false;
   };
+  // What a copy of the store holds.
+  struct State {
+    std::map<std::string, Item> items;
+    std::vector<Change> history;
+    uint64_t compacted_revision = 0;
+    uint64_t revision = 1;
+    std::set<uint64_t> leases;
+  };
   struct Watch {
     ExchangeId id;
     uint64_t after = 0;
@@ -76,10 +91,9 @@
   Endpoint endpoint_;
   EventHttpServer server_;
   Fault fault_ = Fault::kNone;
-  std::map<std::string, Item> items_;
-  std::vector<Change> history_;
-  uint64_t compacted_revision_ = 0;
-  uint64_t revision_ = 1;
+  State state_;
+  State copy_;
+  uint64_t era_ = 1;
   uint64_t next_lease_ = 1;
   uint64_t calls_ = 0;
   std::list<Watch> watches_;
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -111,6 +111,19 @@
   CHECK_FALSE(protocol.ParseWatch(R"({"events":[{}],"current_rev":1})"));
 }
 
+TEST_CASE("the era of the store is read from heads that state one",
+          "[platform]") {
+  PlatformProtocol protocol;
+  HttpHead head;
+  CHECK_FALSE(protocol.ParseStoreEra(head));
+  head.fields = {{"store-era", "7"}};
+  CHECK(protocol.ParseStoreEra(head) == StoreEra(7));
+  for (const char* odd : {"", "-1", "1.5", "x", "18446744073709551616"}) {
+    head.fields = {{"Store-Era", odd}};
+    CHECK_FALSE(protocol.ParseStoreEra(head));
+  }
+}
+
 // Guards against an answer without a length whose connection ends inside it.
 TEST_CASE("answer that is cut at any offset is not taken for a whole one",
           "[platform]") {
