Versions stayed out of force after the store returned from an older copy

Callers saw: requests handled as only an older version allows, on every front that ran while the store was away for a moment and returned from a copy some seconds old: run by the service that a route had before, or refused on a route that had been added. Fronts that started after the return were right. Cause: the store gives out revisions again after such a return, and fronts compared them across it. After a 410 everything was read, but items were passed over whose revision was below that of the known one, the configuration among them. Without a 410 the watch went on at a revision that meant something else, and what had been written below it was never read. Change: a revision is of an era, which the store states in each answer, and only revisions of one era are compared (StoreRevision). An answer of another era makes the front read everything again; what it knows stands until then, and versions are ordered by their own number, so that a lost one is not withdrawn. A store that states no era is found out by a revision that went back. Copies between fronts carry the era, so that a front that missed the return can't pass on what it knew; older fronts read the same messages.

--- a/include/chervilwick/front/peer_copy.h
+++ b/include/chervilwick/front/peer_copy.h
@@ -43,7 +43,7 @@
   CallId call_;
   std::string body_;
   absl::Time last_request_ = absl::InfinitePast();
-  uint64_t newest_revision_ = 0;
+  StoreRevision newest_revision_;
   std::optional<Endpoint> newest_peer_;
   std::map<Endpoint, absl::Time> avoided_until_;  // peers that were silent
 };
--- a/include/chervilwick/front/peer_messages.h
+++ b/include/chervilwick/front/peer_messages.h
@@ -14,6 +14,7 @@
 #include "chervilwick/dispatch/account_limiter.h"
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/crash_suspects.h"
+#include "chervilwick/front/store_revision.h"
 #include "chervilwick/net/socket.h"
 
 namespace chervilwick {
@@ -24,7 +25,7 @@
   std::string sender;
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
-  uint64_t store_revision = 0;
+  StoreRevision store_revision;
   uint64_t waiting_streams = 0;
   std::map<BackendName, BackendUse> use;
   CrashUpdate crashes;
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -35,11 +35,11 @@
   StoreSync(FrontContext& context, Listener listener);
 
   void Start();
-  bool has_table() const { return table_revision_ != 0; }
+  bool has_table() const { return has_table_; }
   bool has_backends() const { return has_backends_; }
   bool is_reachable() const { return !plan_.IsOutage(); }
-  uint64_t revision() const { return revision_; }
-  StoreEra era() const { return era_; }
+  // Up to which changes of the store are known.
+  StoreRevision revision() const { return {era_, revision_}; }
   absl::Time last_answer() const { return last_answer_; }
 
   // Encodes the stored items by key, for another front.
@@ -58,6 +58,11 @@
   void Call();
   void OnEvent(CallEvent event);
   void OnHead(const HttpHead& head);
+  // The store has returned from a copy: everything is read again, and what is
+  // known stands until then.
+  void BeginEra(StoreEra era);
+  void ForgetRevisions();
+  void Reload();
   void OnAnswer();
   void OnPage();
   void OnWatch();
@@ -70,6 +75,9 @@
   // Logs one line for each version of an item, and drops the server that an
   // earlier version named.
   void OnMalformed(const StoreItem& item, const MalformedItem& problem);
+  // Whether a version without a readable number was known before the store
+  // returned from a copy.
+  bool IsFromEarlierEra(const StoreItem& item) const;
   bool IsOwnAddress(const Endpoint& endpoint) const;
   void RemoveUnlisted();
 
@@ -90,6 +98,13 @@
   uint64_t revision_ = 0;
   VersionNumber version_;        // newest number that was read
   uint64_t table_revision_ = 0;  // at which the table in force was written
+  bool has_table_ = false;
+  // The load in progress is the first since the store returned from a copy.
+  bool is_first_load_of_era_ = false;
+  // Hashes of the versions without a number that were in force.
+  std::set<uint64_t> unnumbered_tables_;
+  // The answer that arrives was asked for in an earlier era.
+  bool is_answer_outdated_ = false;
   bool has_backends_ = false;
   bool is_in_outage_ = false;
   absl::Time last_answer_ = absl::InfinitePast();
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -362,7 +362,7 @@
        {"address", record.endpoint.ToString()},
        {"state", record.draining ? "draining" : "ready"},
        {"stage", StageName(record.stage)},
-       {"store_revision", store_.revision()}});
+       {"store_revision", store_.revision().number}});
   if (record.draining) context_.client.Forget(record.endpoint);
   context_.wake_scheduler();
 }
@@ -374,7 +374,7 @@
   context_.log.Write(loop_.Now(), "backend",
                      {{"backend", id.value()},
                       {"change", is_lapse ? "lapsed" : "removed"},
-                      {"store_revision", store_.revision()}});
+                      {"store_revision", store_.revision().number}});
   if (is_lapse) {
     context_.backends.ScheduleRemoval(id, at);
     return;
@@ -388,7 +388,7 @@
 
 void FrontDaemon::OnStoreReachable(bool reachable, absl::string_view reason) {
   context_.log.Write(loop_.Now(), reachable ? "store_regained" : "store_lost",
-                     {{"why", reason}, {"revision", store_.revision()}});
+                     {{"why", reason}, {"revision", store_.revision().number}});
 }
 
 void FrontDaemon::OnDigest(const PeerDigest& digest, const Endpoint& from) {
--- a/lib/front/peer_copy.cc
+++ b/lib/front/peer_copy.cc
@@ -65,9 +65,9 @@
                  },
                  [this](const HttpEnd&) {
                    bool taken = store_.ApplySnapshot(body_);
-                   context_.log.Write(
-                       context_.loop.Now(), "peer_copy",
-                       {{"taken", taken}, {"revision", store_.revision()}});
+                   context_.log.Write(context_.loop.Now(), "peer_copy",
+                                      {{"taken", taken},
+                                       {"revision", store_.revision().number}});
                    EndCall();
                  },
                  [this](const CallFailure&) { EndCall(); },
@@ -77,7 +77,7 @@
 
 void PeerCopy::EndCall() {
   call_ = CallId();
-  newest_revision_ = 0;
+  newest_revision_ = StoreRevision();
   newest_peer_.reset();
 }
 
--- a/lib/front/peer_messages.cc
+++ b/lib/front/peer_messages.cc
@@ -230,7 +230,7 @@
   std::string bytes;
   BinaryWriter writer(bytes);
   writer(kDigestMagic, digest.sender, digest.incarnation, digest.sequence,
-         digest.store_revision, digest.waiting_streams, use,
+         digest.store_revision.Packed(), digest.waiting_streams, use,
          ToEntries(digest.crashes), changing, ToEntries(digest.notices), peers);
   WriteAccounts(digest.accounts, writer);
   return bytes;
@@ -239,6 +239,7 @@
 std::optional<PeerDigest> DecodeDigest(absl::string_view bytes) {
   uint32_t magic = 0;
   PeerDigest digest;
+  uint64_t store_revision = 0;
   List<UseEntry> use;
   CrashEntries crashes;
   List<ChangeEntry> changing;
@@ -248,15 +249,15 @@
     BinaryReader reader({bytes.data(), bytes.size()});
     reader(magic);
     if (magic != kDigestMagic) return std::nullopt;
-    reader(digest.sender, digest.incarnation, digest.sequence,
-           digest.store_revision, digest.waiting_streams, use, crashes,
-           changing, notices, peers);
+    reader(digest.sender, digest.incarnation, digest.sequence, store_revision,
+           digest.waiting_streams, use, crashes, changing, notices, peers);
     digest.accounts = ReadAccounts(reader);
     if (reader.Remaining() != 0) return std::nullopt;
   } catch (const cereal::Exception&) {
     // The caller counts malformed datagrams.
     return std::nullopt;
   }
+  digest.store_revision = StoreRevision::FromPacked(store_revision);
   digest.use = FromEntries(use);
   digest.crashes = FromEntries(crashes);
   for (const ChangeEntry& it : changing.items) {
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "chervilwick/support/hash.h"
 #include "chervilwick/support/overloaded.h"
 #include "chervilwick/wire/archive.h"
 
@@ -100,6 +101,7 @@
     request = context_.protocol.ReadStore(SectionOf(step_), after_key_);
   }
   status_ = 0;
+  is_answer_outdated_ = false;
   body_.clear();
   call_began_ = context_.loop.Now();
   CallOptions options;
@@ -126,12 +128,35 @@
   status_ = head.status;
   std::optional<StoreEra> era = context_.protocol.ParseStoreEra(head);
   if (!era || *era == era_) return;
+  is_answer_outdated_ = step_ != Step::kConfiguration || !after_key_.empty();
+  BeginEra(*era);
+}
+
+void StoreSync::BeginEra(StoreEra era) {
   context_.log.Write(context_.loop.Now(), "store_era",
                      {{"before", era_.value()},
-                      {"era", era->value()},
+                      {"era", era.value()},
                       {"revision", revision_},
                       {"version", version_.value()}});
-  era_ = *era;
+  era_ = era;
+  ForgetRevisions();
+  step_ = Step::kConfiguration;
+  after_key_.clear();
+}
+
+void StoreSync::ForgetRevisions() {
+  revision_ = 0;
+  load_revision_ = 0;
+  table_revision_ = 0;
+  for (auto& it : items_) it.second.revision = 0;
+  malformed_.clear();
+  is_first_load_of_era_ = true;
+}
+
+void StoreSync::Reload() {
+  step_ = Step::kConfiguration;
+  after_key_.clear();
+  Call();
 }
 
 void StoreSync::OnAnswer() {
@@ -140,9 +165,7 @@
   if (status_ == kHistoryGone && step_ == Step::kWatch) {
     context_.log.Write(context_.loop.Now(), "store_history_gone",
                        {{"revision", revision_}});
-    step_ = Step::kConfiguration;
-    after_key_.clear();
-    Call();
+    Reload();
     return;
   }
   if (status_ != kOk) {
@@ -150,6 +173,11 @@
     OnFailure(StoreCallFailure::kRefused);
     return;
   }
+  if (is_answer_outdated_) {
+    RecordSuccess(/*has_changes=*/true);
+    Reload();
+    return;
+  }
   if (step_ == Step::kWatch) {
     OnWatch();
   } else {
@@ -202,6 +230,8 @@
   RecordSuccess(!page->items.empty());
   bool is_first = step_ == Step::kConfiguration && after_key_.empty();
   if (is_first) {
+    // A store that states no era may have returned from a copy as well.
+    if (page->revision < revision_) ForgetRevisions();
     load_revision_ = page->revision;
     loaded_keys_.clear();
   }
@@ -225,6 +255,7 @@
     // Start at the revision of the first page: changes made while the pages
     // were read are delivered again.
     revision_ = load_revision_;
+    is_first_load_of_era_ = false;
     step_ = Step::kWatch;
   }
   Call();
@@ -251,8 +282,12 @@
     return;
   }
   RecordSuccess(!page->items.empty());
+  if (page->revision < revision_) {
+    Reload();
+    return;
+  }
   for (const StoreItem& it : page->items) Apply(it);
-  revision_ = std::max(revision_, page->revision);
+  revision_ = page->revision;
   if (page->items.empty()) {
     Call();
     return;
@@ -297,15 +332,23 @@
   // A version whose number can't be read is newer if it was written later.
   bool has_number = table.version.value() != 0;
   bool is_newer =
-      has_number ? table.version > version_ : item.revision > table_revision_;
+      has_number ? table.version > version_
+                 : item.revision > table_revision_ && !IsFromEarlierEra(item);
   if (!is_newer) return;
   if (has_number) version_ = table.version;
+  if (!has_number) unnumbered_tables_.insert(StableHash(item.value));
+  has_table_ = true;
   table.version = version_;
   table_revision_ = item.revision;
   items_[item.key] = context_.protocol.WithoutSecrets(item);
   listener_.on_table(table);
 }
 
+bool StoreSync::IsFromEarlierEra(const StoreItem& item) const {
+  return is_first_load_of_era_ &&
+         unnumbered_tables_.count(StableHash(item.value)) != 0;
+}
+
 void StoreSync::OnMalformed(const StoreItem& item,
                             const MalformedItem& problem) {
   if (malformed_.size() >= kMaxMalformed) malformed_.clear();
@@ -341,31 +384,41 @@
   }
   std::string bytes;
   BinaryWriter writer(bytes);
-  writer(revision_, items);
+  // Older versions of the front read no further than the items.
+  writer(revision_, items, era_);
   return bytes;
 }
 
 bool StoreSync::ApplySnapshot(const std::string& snapshot) {
-  uint64_t revision = 0;
+  StoreRevision revision;
   List<SnapshotItem> items;
   try {
     BinaryReader reader(snapshot);
-    reader(revision, items);
+    reader(revision.number, items);
+    if (reader.Remaining() != 0) reader(revision.era);
   } catch (const cereal::Exception& error) {
     context_.log.Write(context_.loop.Now(), "peer_copy_malformed",
                        {{"reason", error.what()}});
     return false;
   }
-  if (revision <= revision_) return true;
+  if (revision <= this->revision()) return true;
+  if (revision.era != era_) {
+    BeginEra(revision.era);
+    // The call that is open asks for changes since a revision of before.
+    context_.client.Cancel(call_);
+    timeout_.Cancel();
+    retry_.Arm(absl::ZeroDuration());
+  }
   loaded_keys_.clear();
   for (const SnapshotItem& it : items.items) {
     loaded_keys_.insert(it.key);
     Apply({it.key, it.value, it.revision, false});
   }
-  load_revision_ = revision;
+  load_revision_ = revision.number;
   has_backends_ = has_backends_ || !items.items.empty();
   RemoveUnlisted();
-  revision_ = revision;
+  revision_ = revision.number;
+  is_first_load_of_era_ = false;
   if (step_ != Step::kWatch && has_table()) {
     // Only later changes are left to read from the store.
     step_ = Step::kWatch;
--- a/unittests/front/odd_entries_test.cc
+++ b/unittests/front/odd_entries_test.cc
@@ -238,7 +238,7 @@
           "[front][odd]") {
   PeerDigest digest;
   digest.sender = "front-2";
-  digest.store_revision = 7;
+  digest.store_revision = {StoreEra(2), 7};
   digest.use[BackendName("d1")] = {1, 2, 3};
   digest.crashes.crashed_runs.push_back(
       {Fingerprint(1), {2, 3}, absl::Seconds(1)});
--- a/unittests/front/peers_test.cc
+++ b/unittests/front/peers_test.cc
@@ -218,7 +218,7 @@
       absl::StrAppend(&seeds, seeds.empty() ? "" : ",", peer.control);
       silent.push_back(std::make_unique<LinkEndpoint>(it, peer));
       // Their copies seem newer than the sound peer's.
-      silent.back()->digest.store_revision = 1000;
+      silent.back()->digest.store_revision = {StoreEra(1), 1000};
     }
     // The silent peers are found first, and name the sound one.
     it.loop.RunFor(absl::Seconds(2));
