Servers that had left were used again after the store returned from a copy

Callers saw: requests sent to servers that had announced that they drain, or whose entries had been removed, after the store returned from a copy that was made before; and none sent to servers that started after the copy was made. Cause: after the return a front took what the store had. The copy's entries are older than what the store had acknowledged, and are written again only later. Change: while everything is read for the first time after a return, an entry is passed over if a later one, by the server's start and the entry's number, or the removal of the same one is known. Entries that the copy lacks count until the grace period ends, as after an outage. A 410 that states a new era is an answer, not a failed call, so that no outage is seen in it.

--- a/include/chervilwick/dispatch/backend_record.h
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "chervilwick/dispatch/route_table.h"
 #include "chervilwick/net/socket.h"
@@ -42,6 +43,15 @@
   EngineStage stage = EngineStage::kNone;
   uint32_t slots = 1;
   int64_t born_unix_ms = 0;
+  // Number of the record within its start; grows with each change. Records that
+  // differ in it alone are equal.
+  uint64_t sequence = 0;
+
+  // Whether this start or this record came before that of `other`.
+  bool IsOlderThan(const BackendRecord& other) const {
+    return std::tie(born_unix_ms, sequence) <
+           std::tie(other.born_unix_ms, other.sequence);
+  }
 
   friend bool operator==(const BackendRecord& a, const BackendRecord& b) {
     return a.id == b.id && a.service == b.service && a.endpoint == b.endpoint &&
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -78,6 +78,11 @@
   // Whether a version without a readable number was known before the store
   // returned from a copy.
   bool IsFromEarlierEra(const StoreItem& item) const;
+  // Whether the record comes from the copy that the store returned from, and a
+  // later one, or its removal, is known.
+  bool IsFromEarlierEra(const std::string& key,
+                        const BackendRecord& record) const;
+  void RecordRemoval(const std::string& key);
   bool IsOwnAddress(const Endpoint& endpoint) const;
   void RemoveUnlisted();
 
@@ -108,11 +113,18 @@
   bool has_backends_ = false;
   bool is_in_outage_ = false;
   absl::Time last_answer_ = absl::InfinitePast();
-  // Entries removed before this time may have expired because of the outage.
+  // Entries removed before this time may have expired because of the outage, or
+  // be missing from the copy that the store returned from.
   // Their removal takes effect at this time.
   absl::Time lapse_grace_end_ = absl::InfinitePast();
   std::set<std::string> loaded_keys_;
   std::map<std::string, StoreItem> items_;
+  // Latest record of each server and, for a while, of each removed one.
+  struct LatestRecord {
+    BackendRecord record;
+    absl::Time removed = absl::InfiniteFuture();
+  };
+  std::map<std::string, LatestRecord> latest_records_;
   std::map<std::string, uint64_t> malformed_;  // revisions that were logged
 };
 
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -3,6 +3,7 @@
 #include "chervilwick/front/store_sync.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -22,6 +23,9 @@
 // call. Each call has a price, and the rest of the limit is left to act on
 // them.
 constexpr double kBatchingShare = 0.1;
+// How long a removal is known; longer than the age of the copies that the store
+// returns from.
+constexpr absl::Duration kRemovalRetention = absl::Minutes(5);
 // Malformed items whose revisions are remembered.
 constexpr size_t kMaxMalformed = 10000;
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
@@ -151,6 +155,9 @@
   for (auto& it : items_) it.second.revision = 0;
   malformed_.clear();
   is_first_load_of_era_ = true;
+  if (!has_backends_) return;
+  lapse_grace_end_ =
+      context_.loop.Now() + context_.settings.drain_limit * kLapseGraceShare;
 }
 
 void StoreSync::Reload() {
@@ -162,6 +169,12 @@
 void StoreSync::OnAnswer() {
   timeout_.Cancel();
   ++context_.stats.store_calls[absl::StrCat(status_)];
+  bool is_answered = status_ == kOk || status_ == kHistoryGone;
+  if (is_answer_outdated_ && is_answered) {
+    RecordSuccess(/*has_changes=*/true);
+    Reload();
+    return;
+  }
   if (status_ == kHistoryGone && step_ == Step::kWatch) {
     context_.log.Write(context_.loop.Now(), "store_history_gone",
                        {{"revision", revision_}});
@@ -173,11 +186,6 @@
     OnFailure(StoreCallFailure::kRefused);
     return;
   }
-  if (is_answer_outdated_) {
-    RecordSuccess(/*has_changes=*/true);
-    Reload();
-    return;
-  }
   if (step_ == Step::kWatch) {
     OnWatch();
   } else {
@@ -314,11 +322,17 @@
           [](UnrelatedItem&) {},
           [&](MalformedItem& it) { OnMalformed(item, it); },
           [&](BackendRecord& it) {
+            if (IsFromEarlierEra(item.key, it)) {
+              ++context_.stats.outdated_items;
+              return;
+            }
             items_[item.key] = item;
+            latest_records_[item.key] = {it};
             listener_.on_backend(it);
           },
           [&](BackendRemoved& it) {
             items_.erase(item.key);
+            RecordRemoval(item.key);
             ApplyRemoval(it.id);
           },
           [&](CrashedRun& it) { listener_.on_broken_run(it); },
@@ -344,6 +358,27 @@
   listener_.on_table(table);
 }
 
+bool StoreSync::IsFromEarlierEra(const std::string& key,
+                                 const BackendRecord& record) const {
+  if (!is_first_load_of_era_) return false;
+  auto latest = latest_records_.find(key);
+  if (latest == latest_records_.end()) return false;
+  // A server that is in use writes its entry again, with a higher number.
+  bool is_removed = latest->second.removed != absl::InfiniteFuture();
+  return is_removed ? !latest->second.record.IsOlderThan(record)
+                    : record.IsOlderThan(latest->second.record);
+}
+
+void StoreSync::RecordRemoval(const std::string& key) {
+  absl::Time now = context_.loop.Now();
+  auto latest = latest_records_.find(key);
+  if (latest != latest_records_.end()) latest->second.removed = now;
+  for (auto it = latest_records_.begin(); it != latest_records_.end();) {
+    bool is_over = it->second.removed + kRemovalRetention < now;
+    it = is_over ? latest_records_.erase(it) : std::next(it);
+  }
+}
+
 bool StoreSync::IsFromEarlierEra(const StoreItem& item) const {
   return is_first_load_of_era_ &&
          unnumbered_tables_.count(StableHash(item.value)) != 0;
--- a/unittests/front/store_return_test.cc
+++ b/unittests/front/store_return_test.cc
@@ -206,5 +206,52 @@
   CHECK(it.Runs("s1") == before);
 }
 
+// Entry of a server with its number.
+std::string NumberedEntry(TestDeployment& it, const std::string& id, int number,
+                          const std::string& state = "ready") {
+  Json entry = Json::parse(it.engines.at(id)->Entry(state));
+  entry["seq"] = number;
+  return entry.dump();
+}
+
+// Guards against entries of the copy that are older than what the store had
+// acknowledged: s1 drains, s2 is gone, s4 has started.
+TEST_CASE("servers that left are used again as the store's copy has them",
+          "[front][store-return]") {
+  ReturnedStore fleet;
+  TestDeployment& it = fleet.it;
+  it.Add("s3", "desk", "");
+  for (const char* id : {"s1", "s2", "s3"}) {
+    it.store.Put(it.engines.at(id)->Key(), NumberedEntry(it, id, 5));
+  }
+  it.loop.RunFor(absl::Milliseconds(500));
+  it.store.KeepCopy();
+  it.store.Put("servers/s1", NumberedEntry(it, "s1", 6, "draining"));
+  it.RemoveServer("s2");
+  it.Add("s4", "desk", "");
+  it.loop.RunFor(absl::Milliseconds(500));
+  it.store.ReturnFromCopy();
+  it.loop.RunFor(absl::Milliseconds(500));
+  auto runs_of_ten = [&](const std::string& id) {
+    size_t before = it.Runs(id);
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (int n = 0; n < 10; ++n) {
+      answers.push_back(it.SendRequest("POST", "/book/x"));
+    }
+    it.loop.RunFor(absl::Milliseconds(300));
+    for (const auto& answer : answers) CHECK(answer->status == 200);
+    return it.Runs(id) - before;
+  };
+  CHECK(runs_of_ten("s1") == 0);
+  CHECK(runs_of_ten("s2") == 0);
+  CHECK(runs_of_ten("s4") > 0);
+  it.store.Put("servers/s2", NumberedEntry(it, "s2", 6));
+  it.store.Put("servers/s4", NumberedEntry(it, "s4", 2));
+  it.loop.RunFor(it.settings.drain_limit);
+  CHECK(runs_of_ten("s1") == 0);
+  CHECK(runs_of_ten("s2") > 0);
+  CHECK(runs_of_ten("s4") > 0);
+}
+
 }  // namespace
 }  // namespace chervilwick
