Orders of the stage duty after the store returned from an older copy

What would be seen (from reading; not in the users' record): stage orders with a fencing token below that of earlier orders, which engines refuse or which break ONE; orders of two holders that overlap; or no holder at all. Cause: the token was the key's revision, which goes back with the store. The lease and the key go with it: the holder went on until it renewed its lease, while another front could take the key at once, and a front that knew of a holder waited for a removal that never came. Change: the token holds the era of the store before the revision. At a new era the holder gives up the duty, what is known of a holder is forgotten, and who takes the key then waits until a holder that missed the return has stopped, and the usual delay after it.

--- a/include/chervilwick/front/crash_records.h
+++ b/include/chervilwick/front/crash_records.h
@@ -9,6 +9,7 @@
 #include "absl/random/random.h"
 #include "absl/time/time.h"
 #include "chervilwick/front/front_context.h"
+#include "chervilwick/front/store_call.h"
 
 namespace chervilwick {
 
@@ -25,7 +26,8 @@
  private:
   void RequestLease();
   void WriteRecords();
-  void OnWritten(int status, const std::vector<CrashedRun>& runs);
+  void OnWritten(const StoreAnswer& answer,
+                 const std::vector<CrashedRun>& runs);
   void RetryLater();
 
   FrontContext& context_;
--- a/include/chervilwick/front/stage_keeper.h
+++ b/include/chervilwick/front/stage_keeper.h
@@ -18,11 +18,11 @@
 
 // Orders engines to change between prefill and decode. Only the front that
 // holds a key in the store may send orders. The front takes the key under a
-// lease while there are stages to change, and the key's revision is the fencing
-// token of its orders. The lease is measured by a clock that includes time
-// during which the host is suspended, and the front stops sending orders before
-// the lease can expire. A new holder waits longer than orders of the previous
-// one can take.
+// lease while there are stages to change, and the key's revision, with the era
+// of the store, is the fencing token of its orders. The lease is measured by a
+// clock that includes time during which the host is suspended, and the front
+// stops sending orders before the lease can expire. A new holder waits longer
+// than orders of the previous one can take.
 class StageController {
  public:
   // `services` returns the services whose engines may change stage.
@@ -32,6 +32,8 @@
   // Called with the holder of the key according to the store; none if the key
   // is absent.
   void OnHolder(const std::optional<std::string>& holder);
+  // The store has returned from an older copy: leases and the key may be gone.
+  void OnStoreReturned();
   // Called from a timer while the store is reachable.
   void Tick();
 
@@ -59,6 +61,8 @@
   absl::Time lease_sent_;
   absl::Time lease_ends_;
   absl::Time orders_allowed_at_;
+  // A holder that missed the store's return sends no orders after this time.
+  absl::Time lost_lease_ends_ = absl::InfinitePast();
   absl::Time next_attempt_ = absl::InfinitePast();
   std::map<BackendName, absl::Time> orders_sent_;
 };
--- a/include/chervilwick/front/store_call.h
+++ b/include/chervilwick/front/store_call.h
@@ -13,7 +13,12 @@
 
 // Status 0 means that the call failed or timed out; the store may have carried
 // it out.
-using StoreCallDone = std::function<void(int status, const std::string& body)>;
+struct StoreAnswer {
+  int status = 0;
+  StoreEra era;
+  std::string body;
+};
+using StoreCallDone = std::function<void(const StoreAnswer& answer)>;
 
 // Sends the request and counts the call by its status in the metrics.
 void CallStore(FrontContext& context, const HttpRequest& request,
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -29,6 +29,9 @@
     std::function<void(const BackendName&, absl::Time at)> on_removed;
     std::function<void(bool reachable, absl::string_view reason)> on_reachable;
     std::function<void(const std::string& holder)> on_duty_holder;
+    // The store has returned from an older copy, without the leases and keys
+    // that fronts wrote since. Called after each change of `era`.
+    std::function<void(StoreEra era)> on_returned;
     std::function<void(const CrashedRun&)> on_broken_run;
   };
 
--- a/lib/front/crash_records.cc
+++ b/lib/front/crash_records.cc
@@ -37,10 +37,10 @@
 void CrashRecords::RequestLease() {
   absl::Time sent = context_.loop.Now();
   CallStore(context_, context_.protocol.GrantLease(kLeaseTtl), kCallTimeout,
-            [this, sent](int status, const std::string& body) {
+            [this, sent](const StoreAnswer& answer) {
               std::optional<std::string> lease =
-                  context_.protocol.ParseLease(body);
-              if (status != kOk || !lease) {
+                  context_.protocol.ParseLease(answer.body);
+              if (answer.status != kOk || !lease) {
                 RetryLater();
                 return;
               }
@@ -54,15 +54,14 @@
   std::vector<CrashedRun> runs =
       context_.suspects.Unrecorded(context_.loop.Now());
   if (runs.size() > kMaxKeysPerCall) runs.resize(kMaxKeysPerCall);
-  CallStore(context_, context_.protocol.RecordBrokenRuns(runs, lease_),
-            kCallTimeout,
-            [this, runs](int status, const std::string& /*body*/) {
-              OnWritten(status, runs);
-            });
+  CallStore(
+      context_, context_.protocol.RecordBrokenRuns(runs, lease_), kCallTimeout,
+      [this, runs](const StoreAnswer& answer) { OnWritten(answer, runs); });
 }
 
-void CrashRecords::OnWritten(int status, const std::vector<CrashedRun>& runs) {
-  if (status != kOk) {
+void CrashRecords::OnWritten(const StoreAnswer& answer,
+                             const std::vector<CrashedRun>& runs) {
+  if (answer.status != kOk) {
     // The lease may have expired. Writing the same keys again is idempotent.
     lease_sent_ = absl::InfinitePast();
     RetryLater();
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -122,6 +122,7 @@
                             stages_.OnHolder(holder);
                           }
                         },
+                        [this](StoreEra) { stages_.OnStoreReturned(); },
                         [this](const CrashedRun& it) {
                           MergeCrashNews({{it}, {}}, "store");
                         }}),
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -41,6 +41,12 @@
   }
 }
 
+void StageController::OnStoreReturned() {
+  holder_.reset();
+  lost_lease_ends_ = context_.boot_time() + kLeaseTime - kLeaseMargin;
+  if (state_ != State::kIdle) StepDown("store returned from a copy");
+}
+
 std::optional<StageChange> StageController::NextChange() const {
   for (const ServiceName& it : services_()) {
     std::optional<StageChange> change =
@@ -78,11 +84,11 @@
   lease_sent_ = context_.boot_time();
   timeout_.Arm(kCallTimeout);
   CallStore(context_, context_.protocol.GrantLease(kLeaseTime), kCallTimeout,
-            [this](int status, const std::string& body) {
+            [this](const StoreAnswer& answer) {
               if (state_ != State::kLeasing) return;
               std::optional<std::string> lease =
-                  context_.protocol.ParseLease(body);
-              if (status != kOk || !lease || holder_) {
+                  context_.protocol.ParseLease(answer.body);
+              if (answer.status != kOk || !lease || holder_) {
                 StepDown("store granted no lease");
                 return;
               }
@@ -94,45 +100,45 @@
   state_ = State::kClaiming;
   lease_ = lease;
   timeout_.Arm(kCallTimeout);
-  CallStore(context_,
-            context_.protocol.ClaimStageDuty(context_.settings.name, lease),
-            kCallTimeout, [this](int status, const std::string& body) {
-              if (state_ != State::kClaiming) return;
-              std::optional<uint64_t> revision =
-                  context_.protocol.ParseRevision(body);
-              if (status != kOk || !revision) {
-                StepDown("key not claimed");
-                return;
-              }
-              timeout_.Cancel();
-              state_ = State::kHolding;
-              fencing_token_ = *revision;
-              lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
-              orders_allowed_at_ = context_.boot_time() + kTakeoverDelay;
-              context_.log.Write(context_.loop.Now(), "stage_duty",
-                                 {{"held", true}, {"fence", fencing_token_}});
-            });
+  CallStore(
+      context_, context_.protocol.ClaimStageDuty(context_.settings.name, lease),
+      kCallTimeout, [this](const StoreAnswer& answer) {
+        if (state_ != State::kClaiming) return;
+        std::optional<uint64_t> revision =
+            context_.protocol.ParseRevision(answer.body);
+        if (answer.status != kOk || !revision) {
+          StepDown("key not claimed");
+          return;
+        }
+        timeout_.Cancel();
+        state_ = State::kHolding;
+        fencing_token_ = StoreRevision{answer.era, *revision}.Packed();
+        lease_ends_ = lease_sent_ + kLeaseTime - kLeaseMargin;
+        orders_allowed_at_ =
+            std::max(context_.boot_time(), lost_lease_ends_) + kTakeoverDelay;
+        context_.log.Write(context_.loop.Now(), "stage_duty",
+                           {{"held", true}, {"fence", fencing_token_}});
+      });
 }
 
 void StageController::RenewLease() {
   if (is_renewing_) return;
   is_renewing_ = true;
   absl::Time sent = context_.boot_time();
-  CallStore(
-      context_, context_.protocol.RenewLease(lease_), kCallTimeout,
-      [this, sent, lease = lease_](int status, const std::string& /*body*/) {
-        // A suspended host takes the next lease within the time limit of
-        // a call for the one before.
-        if (lease != lease_) return;
-        is_renewing_ = false;
-        if (state_ != State::kHolding) return;
-        if (status != kOk) {
-          StepDown("store did not renew the lease");
-          return;
-        }
-        lease_sent_ = sent;
-        lease_ends_ = sent + kLeaseTime - kLeaseMargin;
-      });
+  CallStore(context_, context_.protocol.RenewLease(lease_), kCallTimeout,
+            [this, sent, lease = lease_](const StoreAnswer& answer) {
+              // A suspended host takes the next lease within the time limit of
+              // a call for the one before.
+              if (lease != lease_) return;
+              is_renewing_ = false;
+              if (state_ != State::kHolding) return;
+              if (answer.status != kOk) {
+                StepDown("store did not renew the lease");
+                return;
+              }
+              lease_sent_ = sent;
+              lease_ends_ = sent + kLeaseTime - kLeaseMargin;
+            });
 }
 
 void StageController::SendNextOrder() {
--- a/lib/front/store_call.cc
+++ b/lib/front/store_call.cc
@@ -12,11 +12,7 @@
 
 void CallStore(FrontContext& context, const HttpRequest& request,
                absl::Duration timeout, StoreCallDone done) {
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  auto answer = std::make_shared<Answer>();
+  auto answer = std::make_shared<StoreAnswer>();
   CallOptions options;
   options.timeout = timeout;
   context.client.Start(
@@ -24,17 +20,21 @@
       [&context, answer, done = std::move(done)](CallEvent event) {
         std::visit(
             Overloaded{
-                [&](HttpHead& head) { answer->status = head.status; },
+                [&](HttpHead& head) {
+                  answer->status = head.status;
+                  answer->era =
+                      context.protocol.ParseStoreEra(head).value_or(StoreEra());
+                },
                 [&](HttpBodyPart& part) {
                   absl::StrAppend(&answer->body, part.bytes);
                 },
                 [&](HttpEnd&) {
                   ++context.stats.store_calls[absl::StrCat(answer->status)];
-                  done(answer->status, answer->body);
+                  done(*answer);
                 },
                 [&](CallFailure&) {
                   ++context.stats.store_calls["none"];
-                  done(0, "");
+                  done(StoreAnswer());
                 },
             },
             event);
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -142,8 +142,10 @@
                       {"era", era.value()},
                       {"revision", revision_},
                       {"version", version_.value()}});
+  bool is_return = era_ != StoreEra();
   era_ = era;
   ForgetRevisions();
+  if (is_return) listener_.on_returned(era);
   step_ = Step::kConfiguration;
   after_key_.clear();
 }
--- a/unittests/front/odd_entries_test.cc
+++ b/unittests/front/odd_entries_test.cc
@@ -278,6 +278,7 @@
   listener.on_removed = [](const BackendName&, absl::Time) {};
   listener.on_reachable = [](bool, absl::string_view) {};
   listener.on_duty_holder = [](const std::string&) {};
+  listener.on_returned = [](StoreEra) {};
   listener.on_broken_run = [](const CrashedRun&) {};
   FrontContext context(it.loop, it.protocol, it.settings, fileno(it.log));
   auto apply = [&](const std::string& bytes) {
--- a/unittests/front/store_return_test.cc
+++ b/unittests/front/store_return_test.cc
@@ -181,6 +181,7 @@
   listener.on_removed = [](const BackendName&, absl::Time) {};
   listener.on_reachable = [](bool, absl::string_view) {};
   listener.on_duty_holder = [](const std::string&) {};
+  listener.on_returned = [](StoreEra) {};
   listener.on_broken_run = [](const CrashedRun&) {};
   FrontContext context(it.loop, it.protocol, it.settings, fileno(it.log));
   StoreSync late(context, listener);
@@ -253,5 +254,63 @@
   CHECK(runs_of_ten("s4") > 0);
 }
 
+// Guards against orders of two holders that overlap, and against fencing tokens
+// that go back with the revisions.
+TEST_CASE("stage duty is not taken anew after the store returned from a copy",
+          "[front][store-return]") {
+  TestDeployment it;
+  for (const char* id : {"p2", "p3", "p4", "p5"}) it.Add(id, "llm", "prefill");
+  it.store.KeepCopy();
+  for (int n = 0; n < 300; ++n) it.store.PutWithoutNotify("other/key", "");
+  it.Start();
+  absl::Duration passed;
+  it.front->SetBootClock([&] { return it.loop.Now() + passed; });
+  auto orders = [&] {
+    std::vector<Json> all;
+    for (const auto& engine : it.engines) {
+      for (const Json& order : engine.second->orders) all.push_back(order);
+    }
+    return all;
+  };
+  auto run_until = [&](const auto& is_done) {
+    for (int n = 0; n < 300 && !is_done(); ++n) {
+      it.loop.RunFor(absl::Milliseconds(20));
+    }
+    REQUIRE(is_done());
+  };
+  run_until([&] { return !orders().empty(); });
+  auto fence = orders().front()["fence"].get<uint64_t>();
+  // The holder did not renew its lease: another front may still hold it.
+  it.store.ReturnFromCopy();
+  absl::Time returned = it.loop.Now();
+  REQUIRE_FALSE(it.store.Has("duty/stages"));
+  it.loop.RunFor(absl::Milliseconds(300));
+  CHECK(it.LogText().find("\"why\":\"store returned from a copy\"") !=
+        std::string::npos);
+  size_t before = orders().size();
+  // The engine that was ordered is not ordered again for a while.
+  for (const auto& engine : it.engines) {
+    if (!engine.second->orders.empty()) it.store.Remove(engine.second->Key());
+  }
+  it.loop.RunFor(it.settings.drain_limit);
+  passed += absl::Seconds(4);
+  run_until([&] { return it.store.Has("duty/stages"); });
+  absl::Duration since = it.loop.Now() - returned + passed;
+  INFO("key taken " << since << " after the return");
+  REQUIRE(since < absl::Seconds(7));
+  // A lease that the former holder did not renew allows orders for 7 s, and a
+  // new holder waits for 3.5 s.
+  passed += absl::Seconds(10) - since;
+  it.loop.RunFor(absl::Milliseconds(300));
+  CHECK(orders().size() == before);
+  passed += absl::Milliseconds(500);
+  it.loop.RunFor(absl::Milliseconds(500));
+  REQUIRE(orders().size() > before);
+  for (const Json& order : orders()) {
+    CHECK(order["fence"].get<uint64_t>() >= fence);
+  }
+  CHECK(it.store.revision() < 300);
+}
+
 }  // namespace
 }  // namespace chervilwick
