Records of crashes stayed lost after the store returned from an older copy

What would be seen (from reading; not in the users' record): a request that had crashed three servers and was refused by all fronts runs again, and crashes more servers, when all fronts restart after the store returned from a copy. Cause: each front writes the crashes that it saw to the store once. The store lost records and the lease under which further ones were written, and fronts took them for written. Change: at a new era all own crashes count as unrecorded and a new lease is taken; an answer of an earlier era confirms nothing.

--- a/include/chervilwick/dispatch/crash_suspects.h
+++ b/include/chervilwick/dispatch/crash_suspects.h
@@ -200,6 +200,8 @@
   // blamed parts, that are not yet known to be recorded outside the fronts.
   std::vector<CrashedRun> Unrecorded(absl::Time now) const;
   void MarkRecorded(const std::vector<CrashedRun>& runs);
+  // What was recorded outside the fronts may be lost.
+  void ForgetRecorded();
 
   // Drops what is past its retention period.
   void Prune(absl::Time now);
--- a/include/chervilwick/front/crash_records.h
+++ b/include/chervilwick/front/crash_records.h
@@ -20,6 +20,8 @@
  public:
   explicit CrashRecords(FrontContext& context) : context_(context) {}
 
+  // The store has returned from an older copy: records are written again.
+  void OnStoreReturned(StoreEra era);
   // Called from a timer while the store is reachable.
   void Tick();
 
@@ -33,6 +35,7 @@
   FrontContext& context_;
   absl::BitGen random_;
   bool is_calling_ = false;
+  StoreEra era_;
   std::string lease_;
   absl::Time lease_sent_ = absl::InfinitePast();
   absl::Time next_attempt_ = absl::InfinitePast();
--- a/lib/dispatch/crash_suspects.cc
+++ b/lib/dispatch/crash_suspects.cc
@@ -710,6 +710,10 @@
   }
 }
 
+void CrashSuspects::ForgetRecorded() {
+  for (auto& it : own_) it.second = false;
+}
+
 void CrashSuspects::Prune(absl::Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     bool is_over = it->second.Expiry() < now;
--- a/lib/front/crash_records.cc
+++ b/lib/front/crash_records.cc
@@ -22,6 +22,12 @@
 
 }  // namespace
 
+void CrashRecords::OnStoreReturned(StoreEra era) {
+  era_ = era;
+  lease_sent_ = absl::InfinitePast();
+  context_.suspects.ForgetRecorded();
+}
+
 void CrashRecords::Tick() {
   absl::Time now = context_.loop.Now();
   if (is_calling_ || now < next_attempt_) return;
@@ -61,7 +67,7 @@
 
 void CrashRecords::OnWritten(const StoreAnswer& answer,
                              const std::vector<CrashedRun>& runs) {
-  if (answer.status != kOk) {
+  if (answer.status != kOk || answer.era < era_) {
     // The lease may have expired. Writing the same keys again is idempotent.
     lease_sent_ = absl::InfinitePast();
     RetryLater();
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -122,7 +122,10 @@
                             stages_.OnHolder(holder);
                           }
                         },
-                        [this](StoreEra) { stages_.OnStoreReturned(); },
+                        [this](StoreEra era) {
+                          stages_.OnStoreReturned();
+                          crash_records_.OnStoreReturned(era);
+                        },
                         [this](const CrashedRun& it) {
                           MergeCrashNews({{it}, {}}, "store");
                         }}),
--- a/unittests/front/crash_deployment.h
+++ b/unittests/front/crash_deployment.h
@@ -170,6 +170,8 @@
     RunFor(absl::Milliseconds(500));
   }
 
+  PlatformStore& store() { return setup_.store; }
+
   absl::Duration contact_limit() const { return setup_.settings.contact_limit; }
 
   // Sends the request to the fronts in turn until `crashes` servers have
--- a/unittests/front/crashing_request_test.cc
+++ b/unittests/front/crashing_request_test.cc
@@ -104,5 +104,16 @@
   CHECK(it.Crashes() == kMaxCrashes);
 }
 
+TEST_CASE("a quarantine is lost with the store's records of crashes",
+          "[front][crash][store-return]") {
+  CrashDeployment it("/book/poison", CrashMode::kClosed);
+  it.store().KeepCopy();
+  it.SendUntilCrashes("POST", kMaxCrashes);
+  it.store().ReturnFromCopy();
+  it.RunFor(it.contact_limit());
+  CrashDeployment::CheckQuarantineResponse(it.SendToIsolatedFront("POST"));
+  CHECK(it.Crashes() == kMaxCrashes);
+}
+
 }  // namespace
 }  // namespace chervilwick
