Log of software versions, and of the attempt that began a resumed stream

Cause: nothing told at which software version of a server a stream ran, nor which stream a client takes up, so that joined streams can't be found in logs. Change: the version is read from a server's entry and stands in the lines backend and placed; the attempt that a client names as the one that began its stream stands in placed. No decision depends on either.

--- a/include/chervilwick/dispatch/backend_record.h
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -13,6 +13,9 @@
 
 namespace chervilwick {
 
+// Version of the software of a backend server. Versions have no order.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
+
 enum class EngineStage {
   kNone,     // not a model engine
   kPrefill,  // processes prompts and transfers their KV cache
@@ -42,6 +45,7 @@
   bool draining = false;
   EngineStage stage = EngineStage::kNone;
   uint32_t slots = 1;
+  SoftwareVersion software;  // empty if the record states none
   int64_t born_unix_ms = 0;
   // Number of the record within its start; grows with each change. Records that
   // differ in it alone are equal.
@@ -56,7 +60,8 @@
   friend bool operator==(const BackendRecord& a, const BackendRecord& b) {
     return a.id == b.id && a.service == b.service && a.endpoint == b.endpoint &&
            a.zone == b.zone && a.draining == b.draining && a.stage == b.stage &&
-           a.slots == b.slots && a.born_unix_ms == b.born_unix_ms;
+           a.slots == b.slots && a.software == b.software &&
+           a.born_unix_ms == b.born_unix_ms;
   }
 };
 
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -25,6 +25,9 @@
   std::string request_id;
   std::optional<absl::Duration> deadline;  // relative to its arrival
   std::optional<uint64_t> last_event;      // resume after this event
+  // Attempt of the client that brought the first event of the stream which this
+  // one resumes.
+  std::optional<std::string> first_attempt;
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
   std::optional<uint32_t> output_hint;  // client's estimate, in tokens
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -366,6 +366,7 @@
        {"address", record.endpoint.ToString()},
        {"state", record.draining ? "draining" : "ready"},
        {"stage", StageName(record.stage)},
+       {"software", record.software.value()},
        {"store_revision", store_.revision().number}});
   if (record.draining) context_.client.Forget(record.endpoint);
   context_.wake_scheduler();
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -147,7 +147,9 @@
   context().log.Write(
       Now(), "placed",
       {{"id", admitted().facts.request_id},
+       {"first_attempt", admitted().facts.first_attempt.value_or("-")},
        {"decode", placement.decode.value()},
+       {"software", decode == nullptr ? "-" : decode->record.software.value()},
        {"prefill", placement.prefill ? placement.prefill->value() : "-"},
        {"tokens", placement.memory_tokens},
        {"engine_tokens",
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -33,6 +33,8 @@
   CHECK(record->stage == EngineStage::kDecode);
   CHECK(record->slots == 64);
   CHECK(record->born_unix_ms == 1700000000001);
+  CHECK(record->sequence == 4);
+  CHECK(record->software == SoftwareVersion("v1"));
 }
 
 TEST_CASE("a malformed server entry is rejected", "[platform]") {
@@ -111,6 +113,16 @@
   CHECK_FALSE(protocol.ParseWatch(R"({"events":[{}],"current_rev":1})"));
 }
 
+TEST_CASE("the attempt that began a resumed stream is read", "[platform]") {
+  HttpHead head;
+  CHECK_FALSE(PlatformProtocol().ParseRequest(head).first_attempt);
+  head.fields = {{"Resumes", "9c41d07be2a35f68"}};
+  CHECK(PlatformProtocol().ParseRequest(head).first_attempt ==
+        "9c41d07be2a35f68");
+  head.fields = {{"Resumes", "not sendable"}};
+  CHECK_FALSE(PlatformProtocol().ParseRequest(head).first_attempt);
+}
+
 TEST_CASE("the era of the store is read from heads that state one",
           "[platform]") {
   PlatformProtocol protocol;
