Tests of streams that are joined from two software versions, known red

Callers saw: streams whose first part is of one software version of a backend server and whose rest is of another, with nothing in the answer to show it. Change: three cases of front_test with two engines of each version and two fronts: an engine that breaks off, a front that is killed, all fronts that are killed. Half of the streams at least have to go on, none at another version.

--- /dev/null
+++ b/unittests/front/software_versions_test.cc
@@ -0,0 +1,203 @@
+// Streams while engines of two software versions serve.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "deployment.h"
+
+namespace chervilwick {
+namespace {
+
+constexpr int kDeadlineMs = 10000;
+constexpr char kStream[] = "/report/x?events=40";
+
+// Two decode engines of each version, and two fronts.
+class TwoVersions {
+ public:
+  TwoVersions() {
+    it.Add("d3", "llm", "decode");
+    it.Add("d4", "llm", "decode");
+    SetVersion("p1", "v1");
+    for (const char* id : {"d1", "d3"}) SetVersion(id, "v1");
+    for (const char* id : {"d2", "d4"}) SetVersion(id, "v2");
+    nlohmann::json config = DeploymentConfig(1);
+    for (auto& route : config["routes"]) route["timeout_ms"] = kDeadlineMs;
+    it.store.Put("op/config", config.dump());
+    it.settings.retry_slack = 100;
+    it.log = std::tmpfile();
+    StartFronts();
+  }
+
+  // All fronts at once lose what they know.
+  void KillFronts() {
+    fronts_.clear();
+    StartFronts();
+  }
+
+  void KillFirstFront() { fronts_.erase(fronts_.begin()); }
+
+  void RunFor(absl::Duration duration) {
+    absl::Time end = it.loop.Now() + duration;
+    while (it.loop.Now() < end) {
+      it.loop.RunFor(absl::Milliseconds(1));
+      for (const auto& front : fronts_) {
+        front->loop.RunFor(absl::Milliseconds(1));
+      }
+    }
+  }
+
+  struct Stream {
+    std::string id;
+    std::string body;
+    std::shared_ptr<Answer> answer;
+  };
+
+  std::vector<Stream> StartStreams(int n) {
+    std::vector<Stream> streams;
+    for (int number = 0; number < n; ++number) {
+      streams.push_back(
+          Send(it.settings.clients, absl::StrCat("body ", number)));
+      RunFor(absl::Milliseconds(20));
+    }
+    RunFor(absl::Milliseconds(150));
+    return streams;
+  }
+
+  // The client takes up what it has of the stream, at the other front.
+  Stream TakeUp(const Stream& stream) {
+    it.extra_fields = {
+        {"Last-Event-Id", absl::StrCat(EventsOf(*stream.answer))},
+        {"Resumes", stream.id}};
+    Stream taken = Send(fronts_.back()->settings.clients, stream.body);
+    it.extra_fields.clear();
+    return taken;
+  }
+
+  // Number of whole events.
+  static size_t EventsOf(const Answer& answer) {
+    std::vector<std::string> events = absl::StrSplit(answer.body, "\n\n");
+    return events.size() - 1;
+  }
+
+  // Versions at which these client attempts ran.
+  std::set<std::string> VersionsOf(const std::set<std::string>& ids) const {
+    std::set<std::string> versions;
+    for (const auto& engine : it.engines) {
+      for (const EngineRun& run : engine.second->runs()) {
+        if (ids.count(run.request_id) == 0) continue;
+        versions.insert(versions_.at(engine.first));
+      }
+    }
+    return versions;
+  }
+
+  // Takes all streams up, in the reverse order. None may be joined from two
+  // versions, and half of them at least have to go on.
+  void CheckTakenUp(std::vector<Stream> streams) {
+    std::reverse(streams.begin(), streams.end());
+    size_t gone_on = 0;
+    size_t joined = 0;
+    std::vector<Stream> taken;
+    for (const Stream& stream : streams) {
+      REQUIRE(EventsOf(*stream.answer) > 0);
+      taken.push_back(TakeUp(stream));
+      RunFor(absl::Milliseconds(20));
+    }
+    RunFor(absl::Seconds(2));
+    std::set<std::string> all;
+    for (size_t n = 0; n < streams.size(); ++n) {
+      all.insert(streams[n].id);
+      if (taken[n].answer->is_complete && taken[n].answer->status == 200) {
+        ++gone_on;
+      }
+      if (VersionsOf({streams[n].id, taken[n].id}).size() > 1) ++joined;
+    }
+    CHECK(VersionsOf(all).size() == 2);
+    CHECK(joined == 0);
+    CHECK(2 * gone_on >= streams.size());
+  }
+
+  TestDeployment it;
+
+ private:
+  // A front with its own event loop, so that it can be killed.
+  struct Front {
+    EventLoop loop;
+    FrontSettings settings;
+    std::unique_ptr<FrontDaemon> daemon;
+  };
+
+  void StartFronts() {
+    StartFront(it.settings);
+    StartFront(it.PeerSettings("front-2"));
+    RunFor(absl::Milliseconds(600));
+  }
+
+  void StartFront(const FrontSettings& settings) {
+    auto front = std::make_unique<Front>();
+    front->settings = settings;
+    front->daemon = std::make_unique<FrontDaemon>(front->loop, settings, "",
+                                                  it.protocol, fileno(it.log));
+    REQUIRE_FALSE(front->daemon->Start().has_value());
+    front->daemon->SetStartTime(it.loop.Now() - settings.retry_window);
+    fronts_.push_back(std::move(front));
+  }
+
+  void SetVersion(const std::string& id, const std::string& version) {
+    nlohmann::json entry = nlohmann::json::parse(it.engines.at(id)->Entry());
+    entry["version"] = version;
+    it.store.Put(it.engines.at(id)->Key(), entry.dump());
+    it.engines.at(id)->SetEventTime(absl::Milliseconds(30));
+    versions_[id] = version;
+  }
+
+  Stream Send(const std::string& address, const std::string& body) {
+    auto answer = it.SendRequest("POST", kStream, address, kDeadlineMs, body);
+    return {absl::StrCat("id", it.last_id), body, answer};
+  }
+
+  std::map<std::string, std::string> versions_;
+  std::vector<std::unique_ptr<Front>> fronts_;
+};
+
+TEST_CASE("stream goes on at another software version within one answer",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  fleet.it.SetFaults({"d1", "d2"}, PlatformEngine::Fault::kAbortStream, 4);
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.RunFor(absl::Seconds(4));
+  for (const auto& stream : streams) {
+    CHECK(stream.answer->is_complete);
+    CHECK(fleet.VersionsOf({stream.id}).size() == 1);
+  }
+}
+
+TEST_CASE("stream taken up by its client goes on at another software version",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.KillFirstFront();
+  fleet.RunFor(absl::Milliseconds(100));
+  fleet.CheckTakenUp(streams);
+}
+
+TEST_CASE("stream goes on at another software version after a kill of all",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.KillFronts();
+  fleet.CheckTakenUp(streams);
+}
+
+}  // namespace
+}  // namespace chervilwick
