Leases of an earlier era of the store were used after its return

What would be seen (from reading, in the review of the fix; not in the users' record): if lease numbers are given out again, a front keeps the stage duty, or its records of crashes, under a lease that is another front's. Cause: the answers to a grant, a claim and a renewal were taken together whatever the era of each. All fronts without the duty also asked for it at the moment of the return. Change: a claim or a renewal in another era than the grant gives up the duty, a grant of an earlier era is not used for records, and fronts ask for the duty at times of their own after a return. Result: front_test "stage duty is not taken anew after the store returned from a copy" holds as before (the answers of another era have no test of their own).

--- a/include/chervilwick/front/stage_keeper.h
+++ b/include/chervilwick/front/stage_keeper.h
@@ -55,6 +55,7 @@
   State state_ = State::kIdle;
   std::optional<std::string> holder_;
   std::string lease_;
+  StoreEra lease_era_;
   uint64_t fencing_token_ = 0;
   bool is_renewing_ = false;
   // These times are of the clock that includes suspended time.
--- a/lib/front/crash_records.cc
+++ b/lib/front/crash_records.cc
@@ -46,7 +46,7 @@
             [this, sent](const StoreAnswer& answer) {
               std::optional<std::string> lease =
                   context_.protocol.ParseLease(answer.body);
-              if (answer.status != kOk || !lease) {
+              if (answer.status != kOk || !lease || answer.era < era_) {
                 RetryLater();
                 return;
               }
--- a/lib/front/stage_keeper.cc
+++ b/lib/front/stage_keeper.cc
@@ -45,6 +45,10 @@
   holder_.reset();
   lost_lease_ends_ = context_.boot_time() + kLeaseTime - kLeaseMargin;
   if (state_ != State::kIdle) StepDown("store returned from a copy");
+  // Keeps all fronts from asking together.
+  next_attempt_ = std::max(
+      next_attempt_,
+      context_.boot_time() + kRetryInterval * absl::Uniform(random_, 0.0, 1.0));
 }
 
 std::optional<StageChange> StageController::NextChange() const {
@@ -92,6 +96,7 @@
                 StepDown("store granted no lease");
                 return;
               }
+              lease_era_ = answer.era;
               ClaimKey(*lease);
             });
 }
@@ -106,7 +111,7 @@
         if (state_ != State::kClaiming) return;
         std::optional<uint64_t> revision =
             context_.protocol.ParseRevision(answer.body);
-        if (answer.status != kOk || !revision) {
+        if (answer.status != kOk || !revision || answer.era != lease_era_) {
           StepDown("key not claimed");
           return;
         }
@@ -132,7 +137,7 @@
               if (lease != lease_) return;
               is_renewing_ = false;
               if (state_ != State::kHolding) return;
-              if (answer.status != kOk) {
+              if (answer.status != kOk || answer.era != lease_era_) {
                 StepDown("store did not renew the lease");
                 return;
               }
