Copy of a front that reads everything anew was taken for a newer one

What would be seen (from reading, in the review of the fix; not in the users' record): while the store refuses reads after its return, a front without the store takes the state of before from another one and believes it to be of the new era: servers that left are used again. Cause: the first answer of an era, even a refusal, made the front's revision one of that era at number zero, which is later than any of the era before. Change: a revision with number zero names no copy; neither the digest nor the copy of such a front is taken.

--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -41,7 +41,8 @@
   bool has_table() const { return has_table_; }
   bool has_backends() const { return has_backends_; }
   bool is_reachable() const { return !plan_.IsOutage(); }
-  // Up to which changes of the store are known.
+  // Up to which changes of the store are known. The number is zero while
+  // everything is read for the first time in an era.
   StoreRevision revision() const { return {era_, revision_}; }
   absl::Time last_answer() const { return last_answer_; }
 
--- a/lib/front/peer_copy.cc
+++ b/lib/front/peer_copy.cc
@@ -18,6 +18,8 @@
 }  // namespace
 
 void PeerCopy::OnDigest(const PeerDigest& digest, const Endpoint& from) {
+  // The peer reads everything again and has no whole copy.
+  if (digest.store_revision.number == 0) return;
   if (newest_peer_ && digest.store_revision <= newest_revision_) return;
   auto avoided = avoided_until_.find(from);
   if (avoided != avoided_until_.end()) {
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -438,7 +438,8 @@
                        {{"reason", error.what()}});
     return false;
   }
-  if (revision <= this->revision()) return true;
+  bool is_whole = revision.number != 0;
+  if (!is_whole || revision <= this->revision()) return true;
   if (revision.era != era_) {
     BeginEra(revision.era);
     // The call that is open asks for changes since a revision of before.
--- a/unittests/front/store_return_test.cc
+++ b/unittests/front/store_return_test.cc
@@ -104,6 +104,8 @@
     return fronts;
   }
 
+  bool IsReady(int peer) const { return fronts_.at(peer)->IsReady(); }
+
   TestDeployment it;
 
  private:
@@ -254,6 +256,28 @@
   CHECK(runs_of_ten("s4") > 0);
 }
 
+TEST_CASE("front that reads everything anew passes its copy on as a whole one",
+          "[front][store-return]") {
+  ReturnedStore fleet;
+  TestDeployment& it = fleet.it;
+  it.store.KeepCopy();
+  fleet.Churn(200);
+  it.loop.RunFor(absl::Milliseconds(700));
+  it.store.ReturnFromCopy();
+  it.store.SetFault(PlatformStore::Fault::kBusy);
+  it.loop.RunFor(absl::Milliseconds(500));
+  Json status = Json::parse(it.Get("GET", "/status", it.settings.metrics).body);
+  REQUIRE(status["store_era"] == 2);
+  CHECK(status["store_revision"] == 0);
+  // Another front takes none of it.
+  fleet.AddFront("front-late", kPeers + 1);
+  it.loop.RunFor(absl::Seconds(2));
+  CHECK_FALSE(fleet.IsReady(kPeers));
+  it.store.SetFault(PlatformStore::Fault::kNone);
+  it.loop.RunFor(absl::Seconds(2));
+  CHECK(fleet.IsReady(kPeers));
+}
+
 // Guards against orders of two holders that overlap, and against fencing tokens
 // that go back with the revisions.
 TEST_CASE("stage duty is not taken anew after the store returned from a copy",
