Store's return was missed if its first era is zero

What would be seen (from reading, in the review of the fix; not in the users' record): the stage duty is not given up and crashes are not recorded again. Cause: era zero stood for "none known" too, so that the change from it to one was taken for the first answer. A return that only shows in a revision that went back told the duty and the records nothing either. Change: whether an era is known is kept apart, and both kinds of return are told. Result: no test of its own; the cases [store-return] hold.

--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -103,6 +103,7 @@
   std::string body_;
   std::string after_key_;
   StoreEra era_;
+  bool has_era_ = false;
   uint64_t load_revision_ = 0;
   uint64_t revision_ = 0;
   VersionNumber version_;        // newest number that was read
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -131,7 +131,7 @@
 void StoreSync::OnHead(const HttpHead& head) {
   status_ = head.status;
   std::optional<StoreEra> era = context_.protocol.ParseStoreEra(head);
-  if (!era || *era == era_) return;
+  if (!era || (has_era_ && *era == era_)) return;
   is_answer_outdated_ = step_ != Step::kConfiguration || !after_key_.empty();
   BeginEra(*era);
 }
@@ -142,8 +142,9 @@
                       {"era", era.value()},
                       {"revision", revision_},
                       {"version", version_.value()}});
-  bool is_return = era_ != StoreEra();
+  bool is_return = has_era_;
   era_ = era;
+  has_era_ = true;
   ForgetRevisions();
   if (is_return) listener_.on_returned(era);
   step_ = Step::kConfiguration;
@@ -241,7 +242,10 @@
   bool is_first = step_ == Step::kConfiguration && after_key_.empty();
   if (is_first) {
     // A store that states no era may have returned from a copy as well.
-    if (page->revision < revision_) ForgetRevisions();
+    if (page->revision < revision_) {
+      ForgetRevisions();
+      listener_.on_returned(era_);
+    }
     load_revision_ = page->revision;
     loaded_keys_.clear();
   }
