Records of crashes counted as crashes of now when they were read again

What would be seen (from reading, in the review of the fix; not in the users' record): a request that has been cleared since, or whose quarantine is over, is refused anew after each return of the store or gap in its history. Cause: a record has no age, so that one that is read counts from then; each reading of everything passed all of them on. Change: a front passes each record on once. Result: no test of its own; the cases [store-return] and [crash] are in the run of the whole front_test.

--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -130,6 +130,9 @@
     absl::Time removed = absl::InfiniteFuture();
   };
   std::map<std::string, LatestRecord> latest_records_;
+  // Records of crashes that were passed on. They have no age: passing them on
+  // again would make them crashes of now.
+  std::set<std::string> merged_runs_;
   std::map<std::string, uint64_t> malformed_;  // revisions that were logged
 };
 
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -26,8 +26,8 @@
 // How long a removal is known; longer than the age of the copies that the store
 // returns from.
 constexpr absl::Duration kRemovalRetention = absl::Minutes(5);
-// Malformed items whose revisions are remembered.
-constexpr size_t kMaxMalformed = 10000;
+// Malformed items whose revisions are remembered, and records of crashes.
+constexpr size_t kMaxRemembered = 10000;
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
@@ -341,7 +341,11 @@
             RecordRemoval(item.key);
             ApplyRemoval(it.id);
           },
-          [&](CrashedRun& it) { listener_.on_broken_run(it); },
+          [&](CrashedRun& it) {
+            if (merged_runs_.size() >= kMaxRemembered) merged_runs_.clear();
+            if (!merged_runs_.insert(item.key).second) return;
+            listener_.on_broken_run(it);
+          },
           [&](StageDutyHolder& it) { listener_.on_duty_holder(it.holder); },
           [&](RouteTable& it) { ApplyTable(item, it); },
       },
@@ -392,7 +396,7 @@
 
 void StoreSync::OnMalformed(const StoreItem& item,
                             const MalformedItem& problem) {
-  if (malformed_.size() >= kMaxMalformed) malformed_.clear();
+  if (malformed_.size() >= kMaxRemembered) malformed_.clear();
   auto [known, is_new] = malformed_.try_emplace(item.key, item.revision);
   if (!is_new && known->second == item.revision) return;
   known->second = item.revision;
