Servers that had left were used again by a second reading after a return

What would be seen (from reading, in the review of the fix; not in the users' record): the store discards its history soon after its return, all is read once more, and the older entries of the copy are taken. A server whose removal was lost with the store and that writes the same entry, which is no change to the store, is never used again. A malformed entry of the copy puts a sound server out of use. Cause: entries were compared in the first reading of an era only, and an entry that was passed over was not looked at again. Change: after a return entries are compared in each reading of everything; an entry that was passed over for a removal is taken once the store has kept it for longer than that of a silent server; malformed entries of the first reading only name no further server.

--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -87,6 +87,9 @@
   bool IsFromEarlierEra(const std::string& key,
                         const BackendRecord& record) const;
   void RecordRemoval(const std::string& key);
+  void PassOver(const StoreItem& item);
+  // Takes the entries that the store still has: their servers write them.
+  void ApplyPassedOver();
   bool IsOwnAddress(const Endpoint& endpoint) const;
   void RemoveUnlisted();
 
@@ -111,6 +114,10 @@
   bool has_table_ = false;
   // The load in progress is the first since the store returned from a copy.
   bool is_first_load_of_era_ = false;
+  // The store has returned from a copy in the lifetime of this front.
+  bool has_returned_ = false;
+  // Items are from a read of everything or a peer's copy, not from a watch.
+  bool is_reading_all_ = false;
   // Hashes of the versions without a number that were in force.
   std::set<uint64_t> unnumbered_tables_;
   // The answer that arrives was asked for in an earlier era.
@@ -128,8 +135,13 @@
   struct LatestRecord {
     BackendRecord record;
     absl::Time removed = absl::InfiniteFuture();
+
+    bool IsRemoved() const { return removed != absl::InfiniteFuture(); }
   };
   std::map<std::string, LatestRecord> latest_records_;
+  // Entries that were passed over because their removal is known.
+  std::map<std::string, StoreItem> passed_over_;
+  Timer passed_over_check_;
   // Records of crashes that were passed on. They have no age: passing them on
   // again would make them crashes of now.
   std::set<std::string> merged_runs_;
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -26,6 +26,8 @@
 // How long a removal is known; longer than the age of the copies that the store
 // returns from.
 constexpr absl::Duration kRemovalRetention = absl::Minutes(5);
+// Longer than the store keeps the entry of a server that writes nothing.
+constexpr absl::Duration kExpiryTime = absl::Seconds(5);
 // Malformed items whose revisions are remembered, and records of crashes.
 constexpr size_t kMaxRemembered = 10000;
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
@@ -64,7 +66,8 @@
       listener_(std::move(listener)),
       plan_(context.settings.contact_limit),
       retry_(context.loop, [this] { Call(); }),
-      timeout_(context.loop, [this] { OnTimeout(); }) {}
+      timeout_(context.loop, [this] { OnTimeout(); }),
+      passed_over_check_(context.loop, [this] { ApplyPassedOver(); }) {}
 
 void StoreSync::Start() { Call(); }
 
@@ -159,6 +162,7 @@
   malformed_.clear();
   is_first_load_of_era_ = true;
   if (!has_backends_) return;
+  has_returned_ = true;
   lapse_grace_end_ =
       context_.loop.Now() + context_.settings.drain_limit * kLapseGraceShare;
 }
@@ -248,11 +252,14 @@
     }
     load_revision_ = page->revision;
     loaded_keys_.clear();
+    passed_over_.clear();
   }
+  is_reading_all_ = true;
   for (const StoreItem& it : page->items) {
     loaded_keys_.insert(it.key);
     Apply(it);
   }
+  is_reading_all_ = false;
   if (page->has_more && !page->items.empty()) {
     after_key_ = page->items.back().key;
     Call();
@@ -317,6 +324,7 @@
     return;
   }
   if (item.removed) malformed_.erase(item.key);
+  passed_over_.erase(item.key);
   ParsedStoreItem fact = context_.protocol.ParseItem(item);
   auto* record = std::get_if<BackendRecord>(&fact);
   if (record != nullptr && IsOwnAddress(record->endpoint)) {
@@ -329,7 +337,7 @@
           [&](MalformedItem& it) { OnMalformed(item, it); },
           [&](BackendRecord& it) {
             if (IsFromEarlierEra(item.key, it)) {
-              ++context_.stats.outdated_items;
+              PassOver(item);
               return;
             }
             items_[item.key] = item;
@@ -370,13 +378,25 @@
 
 bool StoreSync::IsFromEarlierEra(const std::string& key,
                                  const BackendRecord& record) const {
-  if (!is_first_load_of_era_) return false;
+  if (!has_returned_ || !is_reading_all_) return false;
   auto latest = latest_records_.find(key);
   if (latest == latest_records_.end()) return false;
   // A server that is in use writes its entry again, with a higher number.
-  bool is_removed = latest->second.removed != absl::InfiniteFuture();
-  return is_removed ? !latest->second.record.IsOlderThan(record)
-                    : record.IsOlderThan(latest->second.record);
+  return latest->second.IsRemoved() ? !latest->second.record.IsOlderThan(record)
+                                    : record.IsOlderThan(latest->second.record);
+}
+
+void StoreSync::PassOver(const StoreItem& item) {
+  ++context_.stats.outdated_items;
+  if (!latest_records_.at(item.key).IsRemoved()) return;
+  if (passed_over_.empty()) passed_over_check_.Arm(kExpiryTime);
+  passed_over_[item.key] = item;
+}
+
+void StoreSync::ApplyPassedOver() {
+  std::map<std::string, StoreItem> items = std::move(passed_over_);
+  passed_over_.clear();
+  for (const auto& it : items) Apply(it.second);
 }
 
 void StoreSync::RecordRemoval(const std::string& key) {
@@ -405,6 +425,8 @@
                      {{"key", item.key},
                       {"revision", item.revision},
                       {"reason", problem.reason}});
+  // It can't be told whether the copy's entry or the known one is later.
+  if (has_returned_ && is_first_load_of_era_) return;
   if (problem.backend && items_.erase(item.key) > 0) {
     listener_.on_removed(*problem.backend, context_.loop.Now());
   }
@@ -456,10 +478,13 @@
     retry_.Arm(absl::ZeroDuration());
   }
   loaded_keys_.clear();
+  passed_over_.clear();
+  is_reading_all_ = true;
   for (const SnapshotItem& it : items.items) {
     loaded_keys_.insert(it.key);
     Apply({it.key, it.value, it.revision, false});
   }
+  is_reading_all_ = false;
   load_revision_ = revision.number;
   has_backends_ = has_backends_ || !items.items.empty();
   RemoveUnlisted();
--- a/unittests/front/store_return_test.cc
+++ b/unittests/front/store_return_test.cc
@@ -238,6 +238,7 @@
   auto runs_of_ten = [&](const std::string& id) {
     size_t before = it.Runs(id);
     std::vector<std::shared_ptr<Answer>> answers;
+    answers.reserve(10);
     for (int n = 0; n < 10; ++n) {
       answers.push_back(it.SendRequest("POST", "/book/x"));
     }
@@ -248,6 +249,11 @@
   CHECK(runs_of_ten("s1") == 0);
   CHECK(runs_of_ten("s2") == 0);
   CHECK(runs_of_ten("s4") > 0);
+  // Everything is read once more in the same era.
+  it.store.CompactHistory();
+  it.loop.RunFor(absl::Milliseconds(300));
+  CHECK(runs_of_ten("s1") == 0);
+  CHECK(runs_of_ten("s2") == 0);
   it.store.Put("servers/s2", NumberedEntry(it, "s2", 6));
   it.store.Put("servers/s4", NumberedEntry(it, "s4", 2));
   it.loop.RunFor(it.settings.drain_limit);
@@ -256,6 +262,22 @@
   CHECK(runs_of_ten("s4") > 0);
 }
 
+// Guards against a server that writes its entry as the copy has it, which is no
+// change: it is in use if its entry does not expire.
+TEST_CASE("server whose removal the store lost stays out of use",
+          "[front][store-return]") {
+  ReturnedStore fleet;
+  TestDeployment& it = fleet.it;
+  it.store.KeepCopy();
+  it.RemoveServer("s1");
+  it.store.ReturnFromCopy();
+  it.loop.RunFor(absl::Seconds(6));
+  it.RemoveServer("s2");
+  it.loop.RunFor(it.settings.drain_limit);
+  CHECK(it.Get("POST", "/book/x").status == 200);
+  CHECK(it.Runs("s1") > 0);
+}
+
 TEST_CASE("front that reads everything anew passes its copy on as a whole one",
           "[front][store-return]") {
   ReturnedStore fleet;
