Test of a half-read copy: its late front does not reach the store

Its late front got the store's refusal, learnt the era from it, and so took no copy. Change: that front has no store; all checks of the case stand. No product code.

--- a/unittests/front/store_return_test.cc
+++ b/unittests/front/store_return_test.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "deployment.h"
+#include "raw_peer.h"
 
 namespace chervilwick {
 namespace {
@@ -40,10 +41,11 @@
     it.loop.RunFor(absl::Milliseconds(300));
   }
 
-  void AddFront(const std::string& name, int number) {
-    fronts_.push_back(
-        std::make_unique<FrontDaemon>(it.loop, it.PeerSettings(name, number),
-                                      "", it.protocol, fileno(it.log)));
+  void AddFront(const std::string& name, int number, bool has_store = true) {
+    FrontSettings settings = it.PeerSettings(name, number);
+    if (!has_store) settings.store = FreeEndpoint().ToString();
+    fronts_.push_back(std::make_unique<FrontDaemon>(
+        it.loop, settings, "", it.protocol, fileno(it.log)));
     REQUIRE_FALSE(fronts_.back()->Start().has_value());
   }
 
@@ -291,8 +293,8 @@
   Json status = Json::parse(it.Get("GET", "/status", it.settings.metrics).body);
   REQUIRE(status["store_era"] == 2);
   CHECK(status["store_revision"] == 0);
-  // Another front takes none of it.
-  fleet.AddFront("front-late", kPeers + 1);
+  // A front that has nothing but copies takes none of it.
+  fleet.AddFront("front-late", kPeers + 1, /*has_store=*/false);
   it.loop.RunFor(absl::Seconds(2));
   CHECK_FALSE(fleet.IsReady(kPeers));
   it.store.SetFault(PlatformStore::Fault::kNone);
