--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -24,12 +24,20 @@
 // Two decode engines of each version, and two fronts.
 class TwoVersions {
  public:
-  TwoVersions() {
+  enum class NewVersion { kServes, kJoinsLater };
+
+  explicit TwoVersions(NewVersion new_version = NewVersion::kServes) {
     it.Add("d3", "llm", "decode");
     it.Add("d4", "llm", "decode");
     SetVersion("p1", "v1");
     for (const char* id : {"d1", "d3"}) SetVersion(id, "v1");
-    for (const char* id : {"d2", "d4"}) SetVersion(id, "v2");
+    if (new_version == NewVersion::kServes) {
+      JoinNewVersion();
+    } else {
+      for (const char* id : {"d2", "d4"}) {
+        it.store.Remove(it.engines.at(id)->Key());
+      }
+    }
     nlohmann::json config = DeploymentConfig(1);
     for (auto& route : config["routes"]) route["timeout_ms"] = kDeadlineMs;
     it.store.Put("op/config", config.dump());
@@ -46,11 +54,19 @@
 
   void KillFirstFront() { fronts_.erase(fronts_.begin()); }
 
+  void JoinNewVersion() {
+    for (const char* id : {"d2", "d4"}) SetVersion(id, "v2");
+  }
+
+  // The last front stands still from now on, or goes on.
+  void SetLastFrontStill(bool is_still) { is_last_still_ = is_still; }
+
   void RunFor(absl::Duration duration) {
     absl::Time end = it.loop.Now() + duration;
     while (it.loop.Now() < end) {
       it.loop.RunFor(absl::Milliseconds(1));
       for (const auto& front : fronts_) {
+        if (is_last_still_ && front == fronts_.back()) continue;
         front->loop.RunFor(absl::Milliseconds(1));
       }
     }
@@ -101,30 +117,42 @@
     return versions;
   }
 
-  // Takes all streams up, in the reverse order. None may be joined from two
-  // versions, and half of them at least have to go on.
-  void CheckTakenUp(std::vector<Stream> streams) {
+  struct TakenUp {
+    size_t joined = 0;   // from two versions
+    size_t gone_on = 0;  // to their ends
+    size_t open = 0;     // without an end of their answers
+  };
+
+  // Takes all streams up, in the reverse order.
+  TakenUp TakeUpAll(std::vector<Stream> streams, absl::Duration gap) {
     std::reverse(streams.begin(), streams.end());
-    size_t gone_on = 0;
-    size_t joined = 0;
     std::vector<Stream> taken;
     for (const Stream& stream : streams) {
       REQUIRE(EventsOf(*stream.answer) > 0);
       taken.push_back(TakeUp(stream));
-      RunFor(absl::Milliseconds(20));
+      RunFor(gap);
     }
+    is_last_still_ = false;
     RunFor(absl::Seconds(2));
+    TakenUp result;
     std::set<std::string> all;
     for (size_t n = 0; n < streams.size(); ++n) {
+      const Answer& answer = *taken[n].answer;
       all.insert(streams[n].id);
-      if (taken[n].answer->is_complete && taken[n].answer->status == 200) {
-        ++gone_on;
-      }
-      if (VersionsOf({streams[n].id, taken[n].id}).size() > 1) ++joined;
+      if (answer.is_complete && answer.status == 200) ++result.gone_on;
+      if (!answer.is_complete && !answer.is_broken) ++result.open;
+      if (VersionsOf({streams[n].id, taken[n].id}).size() > 1) ++result.joined;
     }
     CHECK(VersionsOf(all).size() == 2);
-    CHECK(joined == 0);
-    CHECK(2 * gone_on >= streams.size());
+    return result;
+  }
+
+  // None may be joined from two versions, and half of them at least have to go
+  // on.
+  void CheckTakenUp(const std::vector<Stream>& streams) {
+    TakenUp taken = TakeUpAll(streams, absl::Milliseconds(20));
+    CHECK(taken.joined == 0);
+    CHECK(2 * taken.gone_on >= streams.size());
   }
 
   TestDeployment it;
@@ -168,6 +196,7 @@
 
   std::map<std::string, std::string> versions_;
   std::vector<std::unique_ptr<Front>> fronts_;
+  bool is_last_still_ = false;
 };
 
 TEST_CASE("stream goes on at another software version within one answer",
@@ -199,5 +228,29 @@
   fleet.CheckTakenUp(streams);
 }
 
+TEST_CASE("stream goes on at a version that has joined since it began",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.JoinNewVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.KillFirstFront();
+  fleet.CheckTakenUp(streams);
+}
+
+TEST_CASE("front that stood still joins streams of a version it does not know",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.SetLastFrontStill(true);
+  fleet.JoinNewVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.KillFirstFront();
+  // The requests are there when the front goes on.
+  TwoVersions::TakenUp taken = fleet.TakeUpAll(streams, absl::Milliseconds(20));
+  CHECK(taken.joined == 0);
+  CHECK(taken.open == 0);
+}
+
 }  // namespace
 }  // namespace chervilwick
