--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -160,6 +160,8 @@
   }
   context_.log.Write(Now(), "request_done",
                      {{"id", admitted_.facts.request_id},
+                      {"first_attempt",
+                       admitted_.facts.first_attempt.value_or("-")},
                       {"route", admitted_.route.name},
                       {"version", admitted_.version.value()},
                       {"outcome", outcome},
