Streams that were taken up waited behind new ones

What callers saw (LOST): clients whose streams had broken off took them up again and were refused while new streams began.

Cause: a stream that a client takes up was scheduled as a new one. A stream that continues within one answer competed in the same way.

Change: streams whose first part the client has are a class of their own, served first and up to the client's deadline; while one of them waits for capacity, no new stream of its service takes any.

--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -32,6 +32,8 @@
   int priority = 0;
   uint32_t attempts = 1;
   bool resumable = false;
+  // The client has the first part of the stream and takes it up.
+  bool is_taken_up = false;
   // A place at the decode engine is reserved before the prompt is read.
   bool reserves_place = false;
   uint32_t prompt_tokens = 0;
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -35,6 +35,8 @@
   // the prompt itself.
   absl::Time prompt_cached_until = absl::InfinitePast();
   std::set<BackendName> excluded;  // engines where the stream failed
+  // The client has the first part of the stream.
+  bool is_started = false;
   // A refusal would not tell the client that nothing has run.
   bool may_have_run = false;
 };
@@ -126,8 +128,10 @@
 absl::Duration PeerUseJitter(uint64_t draw);
 
 // Schedules streams when demand doubles within seconds while engines fail or
-// drain. Streams whose prompt has been read go first, since its KV cache
-// expires within half a second. Streams that can still meet their latency
+// drain. Streams that have started go first: their prompts were paid for, and
+// their clients wait for the rest only. No other stream takes capacity that one
+// of them waits for. Streams whose prompt has been read follow, since its KV
+// cache expires within half a second. Streams that can still meet their latency
 // objective follow, by priority and due time. Late streams use the remaining
 // capacity. Streams that can't be served within the client's timeout are
 // refused on arrival.
@@ -165,7 +169,8 @@
   void SetFrontCount(uint32_t fronts) { fronts_ = fronts; }
 
   size_t waiting() const {
-    return with_cached_prompt_.size() + on_time_.size() + late_.size();
+    return started_.size() + with_cached_prompt_.size() + on_time_.size() +
+           late_.size();
   }
 
  private:
@@ -177,11 +182,14 @@
 
   void ServeClass(std::deque<StreamJob>& queue, Class which, absl::Time now,
                   std::vector<StreamDecision>& out);
+  // Places started streams, in order, where there is room for them.
+  void ServeStarted(absl::Time now, std::vector<StreamDecision>& out);
   // Moves streams whose prompt's KV cache has expired to the queue of streams
   // without one.
   void RequeueExpiredPrompts(absl::Time now);
   void DemoteLate(absl::Time now);
-  void RefuseTimedOut(absl::Time now, std::vector<StreamDecision>& out);
+  void RefuseTimedOut(std::deque<StreamJob>& queue, absl::Time now,
+                      std::vector<StreamDecision>& out);
   // When a late stream is refused at the latest.
   absl::Time RefusalTime(const StreamJob& job) const;
   bool IsUrgent(const StreamJob& job) const;
@@ -220,6 +228,9 @@
   BackendTable& backends_;
   ZoneName zone_;
   StreamSchedulerOptions options_;
+  std::deque<StreamJob> started_;  // by priority and the client's deadline
+  // Services with a started stream that waits for capacity.
+  std::set<ServiceName> kept_for_started_;
   // With a cached prompt; by priority and expiry time.
   std::deque<StreamJob> with_cached_prompt_;
   std::deque<StreamJob> on_time_;  // by priority and due time
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -76,6 +76,7 @@
     job.first_event_due = now + terms_.pause_objective;
     job.client_deadline = now + port_.EventTimeout();
   }
+  job.is_started = is_streaming_ || terms_.is_taken_up;
   job.priority = terms_.priority;
   job.may_have_run = runs_ > 0 || is_streaming_ || phase_ == Phase::kPrompt ||
                      phase_ == Phase::kDecode;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -163,7 +163,7 @@
   bool is_late = which == Class::kLate;
   double fill = is_late ? options_.late_memory_fill : options_.memory_fill;
   bool is_urgent = !is_late && IsUrgent(job);
-  if (is_urgent || !IsKeptForUrgent(engine)) return fill;
+  if (is_urgent || job.is_started || !IsKeptForUrgent(engine)) return fill;
   return fill * std::get<PromptRefusal>(policy_).shared_memory;
 }
 
@@ -177,10 +177,13 @@
 }
 
 size_t StreamScheduler::CountAhead(const StreamJob& job) const {
-  if (!IsUrgent(job)) return on_time_.size() + peers_waiting_ + 1;
+  if (job.is_started) return started_.size();
+  if (!IsUrgent(job)) {
+    return started_.size() + on_time_.size() + peers_waiting_ + 1;
+  }
   auto is_urgent = [this](const StreamJob& it) { return IsUrgent(it); };
-  return static_cast<size_t>(
-      std::count_if(on_time_.begin(), on_time_.end(), is_urgent));
+  return started_.size() + static_cast<size_t>(std::count_if(
+                               on_time_.begin(), on_time_.end(), is_urgent));
 }
 
 absl::Duration StreamScheduler::TimeToReturn(const StreamJob& job,
@@ -207,13 +210,23 @@
 std::optional<StreamRefusal> StreamScheduler::Submit(StreamJob job,
                                                      absl::Time now) {
   ObserveDemand(job);
+  if (job.is_started) {
+    bool has_place = started_.empty() && HasRoom(job, now);
+    absl::Duration wait = has_place ? absl::ZeroDuration()
+                                    : ExpectedWait(job, CountAhead(job), now);
+    if (now + wait + ServiceTime(job) > job.client_deadline) {
+      return Refuse(job, StreamRefusalReason::kQueueTooLong, wait, now);
+    }
+    InsertByPriority(started_, std::move(job), &StreamJob::client_deadline);
+    return std::nullopt;
+  }
   if (HasCachedPrompt(job, now)) {
     InsertByPriority(with_cached_prompt_, std::move(job),
                      &StreamJob::prompt_cached_until);
     return std::nullopt;
   }
-  bool has_room =
-      with_cached_prompt_.empty() && on_time_.empty() && HasRoom(job, now);
+  bool has_room = started_.empty() && with_cached_prompt_.empty() &&
+                  on_time_.empty() && HasRoom(job, now);
   size_t ahead = has_room ? 0 : CountAhead(job);
   absl::Duration wait = ExpectedWait(job, ahead, now);
   absl::Time first_event = now + wait + ServiceTime(job);
@@ -236,6 +249,7 @@
                        [&](const StreamJob& it) { return it.id == id; }),
         queue.end());
   };
+  remove(started_);
   remove(with_cached_prompt_);
   remove(on_time_);
   remove(late_);
@@ -245,6 +259,7 @@
   std::vector<StreamDecision> out;
   RequeueExpiredPrompts(now);
   DemoteLate(now);
+  ServeStarted(now, out);
   ServeUrgent(now, out);
   ServeClass(with_cached_prompt_, Class::kOnTime, now, out);
   if (with_cached_prompt_.empty()) {
@@ -253,10 +268,26 @@
   if (with_cached_prompt_.empty() && on_time_.empty()) {
     ServeClass(late_, Class::kLate, now, out);
   }
-  RefuseTimedOut(now, out);
+  RefuseTimedOut(started_, now, out);
+  RefuseTimedOut(late_, now, out);
   return out;
 }
 
+void StreamScheduler::ServeStarted(absl::Time now,
+                                   std::vector<StreamDecision>& out) {
+  kept_for_started_.clear();
+  for (auto it = started_.begin(); it != started_.end();) {
+    std::optional<StreamPlacement> placement = Place(*it, Class::kOnTime, now);
+    if (!placement) {
+      kept_for_started_.insert(it->service);
+      ++it;
+      continue;
+    }
+    out.push_back(*placement);
+    it = started_.erase(it);
+  }
+}
+
 void StreamScheduler::ServeUrgent(absl::Time now,
                                   std::vector<StreamDecision>& out) {
   while (!on_time_.empty() && IsUrgent(on_time_.front())) {
@@ -270,7 +301,9 @@
 
 absl::Time StreamScheduler::RefusalTime(const StreamJob& job) const {
   const auto* policy = std::get_if<PromptRefusal>(&policy_);
-  if (policy == nullptr || job.may_have_run) return job.client_deadline;
+  if (policy == nullptr || job.may_have_run || job.is_started) {
+    return job.client_deadline;
+  }
   // One that was late on arrival takes room that is free.
   absl::Time earliest =
       std::max(job.first_event_due, job.arrived + ServiceTime(job));
@@ -314,22 +347,25 @@
   }
 }
 
-void StreamScheduler::RefuseTimedOut(absl::Time now,
+void StreamScheduler::RefuseTimedOut(std::deque<StreamJob>& queue,
+                                     absl::Time now,
                                      std::vector<StreamDecision>& out) {
-  for (auto it = late_.begin(); it != late_.end();) {
+  for (auto it = queue.begin(); it != queue.end();) {
     if (now + ServiceTime(*it) <= RefusalTime(*it)) {
       ++it;
       continue;
     }
     absl::Duration wait = ExpectedWait(*it, waiting() + peers_waiting_, now);
     out.push_back(Refuse(*it, StreamRefusalReason::kWaitedTooLong, wait, now));
-    it = late_.erase(it);
+    it = queue.erase(it);
   }
 }
 
 std::optional<StreamPlacement> StreamScheduler::Place(const StreamJob& job,
                                                       Class which,
                                                       absl::Time now) {
+  bool is_kept = kept_for_started_.count(job.service) != 0;
+  if (is_kept && !job.is_started) return std::nullopt;
   BackendState* decode = ChooseDecode(job, which, now);
   if (decode == nullptr) return std::nullopt;
   StreamPlacement placement;
--- a/lib/front/relay.cc
+++ b/lib/front/relay.cc
@@ -158,18 +158,18 @@
         admitted_.route.name,
         {until_output, Elapsed() - until_output, admitted_.OutputTokens()});
   }
-  context_.log.Write(Now(), "request_done",
-                     {{"id", admitted_.facts.request_id},
-                      {"first_attempt",
-                       admitted_.facts.first_attempt.value_or("-")},
-                      {"route", admitted_.route.name},
-                      {"version", admitted_.version.value()},
-                      {"outcome", outcome},
-                      {"status", status},
-                      {"reason", reason},
-                      {"fingerprint", FingerprintText(admitted_.fingerprint)},
-                      {"took_ms", Elapsed()},
-                      {"left_ms", Remaining()}});
+  context_.log.Write(
+      Now(), "request_done",
+      {{"id", admitted_.facts.request_id},
+       {"first_attempt", admitted_.facts.first_attempt.value_or("-")},
+       {"route", admitted_.route.name},
+       {"version", admitted_.version.value()},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", reason},
+       {"fingerprint", FingerprintText(admitted_.fingerprint)},
+       {"took_ms", Elapsed()},
+       {"left_ms", Remaining()}});
   finished_(admitted_.id);
 }
 
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -55,6 +55,7 @@
   terms.priority = admitted.priority;
   terms.attempts = admitted.route.attempts;
   terms.resumable = admitted.route.resumable;
+  terms.is_taken_up = admitted.facts.last_event.has_value();
   terms.reserves_place = admitted.reserves_place;
   terms.prompt_tokens = admitted.facts.prompt_tokens;
   terms.max_output_tokens = admitted.facts.max_output_tokens;
--- /dev/null
+++ b/unittests/dispatch/started_streams_test.cc
@@ -0,0 +1,149 @@
+// Streams that have started and need another engine, next to new ones.
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chervilwick/dispatch/stream_scheduler.h"
+
+namespace chervilwick {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const ServiceName kService("models");
+
+// Engines with memory for one stream each.
+class SmallFleet {
+ public:
+  explicit SmallFleet(int engines)
+      : scheduler(table, ZoneName("a"), StreamSchedulerOptions()) {
+    for (int n = 0; n < engines; ++n) Add(n);
+    ServiceTraits traits;
+    traits.engine = EngineTraits{64, 5000, absl::Milliseconds(500)};
+    scheduler.SetEngineTraits({{kService, traits}});
+  }
+
+  void Add(int n) {
+    for (EngineStage stage : {EngineStage::kPrefill, EngineStage::kDecode}) {
+      BackendRecord record;
+      record.id = BackendName(StageName(stage) + std::to_string(n));
+      record.service = kService;
+      record.zone = ZoneName("a");
+      record.slots = 64;
+      record.stage = stage;
+      table.Upsert(record);
+    }
+  }
+
+  static StreamJob New(uint64_t id, absl::Time now) {
+    StreamJob job;
+    job.id = ExchangeId(id);
+    job.service = kService;
+    job.priority = 1;
+    job.arrived = now;
+    job.first_event_due = now + absl::Milliseconds(900);
+    job.client_deadline = now + absl::Seconds(3);
+    job.prompt_tokens = 3000;
+    job.output_tokens = 900;
+    return job;
+  }
+
+  // Its objective, counted from the client's first attempt, has been missed.
+  static StreamJob Started(uint64_t id, absl::Time now) {
+    StreamJob job = New(id, now);
+    job.first_event_due = now - absl::Seconds(1);
+    job.is_started = true;
+    return job;
+  }
+
+  // Ids of the streams that a scheduling pass places.
+  std::vector<uint64_t> Place(absl::Time now) {
+    std::vector<uint64_t> ids;
+    for (const StreamDecision& it : scheduler.Decide(now)) {
+      if (const auto* placed = std::get_if<StreamPlacement>(&it)) {
+        ids.push_back(placed->id.value());
+        placements.push_back(*placed);
+      } else {
+        refused.push_back(std::get<StreamRefusal>(it).id.value());
+      }
+    }
+    return ids;
+  }
+
+  void EndFirst() {
+    scheduler.ReleasePrompt(placements.front());
+    scheduler.ReleaseDecode(placements.front());
+    placements.erase(placements.begin());
+  }
+
+  BackendTable table;
+  StreamScheduler scheduler;
+  std::vector<StreamPlacement> placements;
+  std::vector<uint64_t> refused;
+};
+
+TEST_CASE("stream that has started waits behind new ones", "[dispatch]") {
+  for (const OverloadPolicy& policy :
+       {OverloadPolicy(LateService()), OverloadPolicy(PromptRefusal{0})}) {
+    SmallFleet fleet(1);
+    fleet.scheduler.SetOverloadPolicy(policy);
+    CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+    CHECK(fleet.Place(kStart) == std::vector<uint64_t>{1});
+    StreamJob urgent = SmallFleet::New(2, kStart);
+    urgent.priority = 0;
+    fleet.scheduler.Submit(urgent, kStart);
+    fleet.scheduler.Submit(SmallFleet::New(3, kStart), kStart);
+    CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::Started(4, kStart), kStart));
+    CHECK(fleet.Place(kStart).empty());
+    fleet.EndFirst();
+    CHECK(fleet.Place(kStart) == std::vector<uint64_t>{4});
+  }
+}
+
+TEST_CASE("stream that has started is refused as late", "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.scheduler.SetOverloadPolicy(PromptRefusal());
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+  CHECK(fleet.Place(kStart).size() == 1);
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::Started(2, kStart), kStart));
+  absl::Time later = kStart + absl::Seconds(2);
+  CHECK(fleet.Place(later).empty());
+  CHECK(fleet.refused.empty());
+  fleet.EndFirst();
+  CHECK(fleet.Place(later) == std::vector<uint64_t>{2});
+}
+
+TEST_CASE("stream that has started waits beyond its client's patience",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+  CHECK(fleet.Place(kStart).size() == 1);
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::Started(2, kStart), kStart));
+  CHECK(fleet.Place(kStart + absl::Seconds(3)).empty());
+  CHECK(fleet.refused == std::vector<uint64_t>{2});
+  // No engine would ever take it.
+  SmallFleet none(0);
+  CHECK(none.scheduler.Submit(SmallFleet::Started(1, kStart), kStart));
+}
+
+TEST_CASE("new streams take the room that a started one waits for",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+  CHECK(fleet.Place(kStart).size() == 1);
+  StreamJob large = SmallFleet::Started(2, kStart);
+  large.prompt_tokens = 4000;
+  CHECK_FALSE(fleet.scheduler.Submit(large, kStart));
+  StreamJob small = SmallFleet::New(3, kStart);
+  small.prompt_tokens = 100;
+  small.output_tokens = 100;
+  small.client_deadline = kStart + absl::Seconds(20);
+  CHECK_FALSE(fleet.scheduler.Submit(small, kStart));
+  CHECK(fleet.Place(kStart).empty());
+  fleet.EndFirst();
+  CHECK(fleet.Place(kStart).front() == 2);
+}
+
+}  // namespace
+}  // namespace chervilwick
