Streams went on at another software version within one answer

Cause: the version of an entry was never read. A stream that goes on was placed on any engine with room.

Change: a stream has the version of the engine whose response head was passed on. It is placed on engines of that version only, checked again before the call is sent, and refused at once if none is left (software_version_gone). Room that a started stream waits for is kept on the engines of its version, no longer on all of the service. An engine that states no version has one of its own.

In the test of refused replacements, the reason of a fleet without engines is now software_version_gone; queue_too_long is kept as a case of its own, with engines that asked for a pause.

--- a/include/chervilwick/dispatch/backend_record.h
+++ b/include/chervilwick/dispatch/backend_record.h
@@ -45,12 +45,22 @@
   bool draining = false;
   EngineStage stage = EngineStage::kNone;
   uint32_t slots = 1;
-  SoftwareVersion software;  // empty if the record states none
+  // Servers that state none have a version of their own each, see
+  // UnstatedSoftware().
+  SoftwareVersion software;
   int64_t born_unix_ms = 0;
   // Number of the record within its start; grows with each change. Records that
   // differ in it alone are equal.
   uint64_t sequence = 0;
 
+  // Version of a server that states none, unlike that of any other start of a
+  // server.
+  SoftwareVersion UnstatedSoftware() const {
+    // Versions that servers state have no spaces.
+    return SoftwareVersion("unstated by " + id.value() + " " +
+                           std::to_string(born_unix_ms));
+  }
+
   // Whether this start or this record came before that of `other`.
   bool IsOlderThan(const BackendRecord& other) const {
     return std::tie(born_unix_ms, sequence) <
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -34,6 +34,8 @@
   bool resumable = false;
   // The client has the first part of the stream and takes it up.
   bool is_taken_up = false;
+  // Version of the engine that began a stream which is taken up.
+  std::optional<SoftwareVersion> software;
   // A place at the decode engine is reserved before the prompt is read.
   bool reserves_place = false;
   uint32_t prompt_tokens = 0;
@@ -215,6 +217,8 @@
     return *PromptStep().placement.prefill;
   }
   bool is_streaming() const { return is_streaming_; }
+  // Version of the engine that began the stream; nullopt before it has begun.
+  const std::optional<SoftwareVersion>& software() const { return software_; }
   uint32_t runs() const { return runs_; }
 
  private:
@@ -227,6 +231,7 @@
     bool placed_on_suspect = false;  // no other decode engine was available
     absl::Time started;              // of the call
     int64_t engine_started_ms = 0;   // start time of the called engine
+    SoftwareVersion software;        // of the called decode engine
   };
   // Progress of the replacement for a call that is still open.
   enum class Replacement { kNone, kQueued, kPrompt };
@@ -332,6 +337,8 @@
   uint32_t runs_ = 0;  // decode sends that may have run
   uint32_t handle_refusals_ = 0;
   bool is_streaming_ = false;  // the client has the response head
+  // Engines of this version alone can go on.
+  std::optional<SoftwareVersion> software_;
   bool reads_at_decode_ = false;
   bool has_resume_point_ = true;
   bool may_run_again_ = true;
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -37,6 +38,9 @@
   std::set<BackendName> excluded;  // engines where the stream failed
   // The client has the first part of the stream.
   bool is_started = false;
+  // Version of the engine that began the stream. Engines of another one can't
+  // continue it, and do not detect that.
+  std::optional<SoftwareVersion> software;
   // A refusal would not tell the client that nothing has run.
   bool may_have_run = false;
 };
@@ -61,6 +65,7 @@
   kNoEngines,      // all engines that were tried refused it
   kNoRetryBudget,  // a retry would exceed the retry budget
   kQuarantined,    // such requests are suspected to crash servers
+  kVersionGone,    // no engine of the version that began it is left
 };
 
 struct StreamRefusal {
@@ -210,6 +215,12 @@
                               absl::Time now);
   std::optional<StreamPlacement> Place(const StreamJob& job, Class which,
                                        absl::Time now);
+  // Whether the engine generates streams and may generate this one.
+  bool IsUsable(const BackendState& engine, const StreamJob& job) const;
+  bool IsKeptForStarted(const BackendState& engine) const;
+  // Whether an engine that does not leave is left of the version that the job
+  // needs, if it needs one.
+  bool IsVersionServed(const StreamJob& job) const;
   std::vector<BackendState*> DecodeCandidates(const StreamJob& job,
                                               absl::Time now);
   BackendState* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
@@ -217,11 +228,13 @@
                               absl::Time now);
   absl::Duration PromptTime(int64_t tokens) const;
   absl::Duration ServiceTime(const StreamJob& job) const;
-  // Estimates how many streams per second the engines of a service can start.
-  double PlacesPerSecond(const ServiceName& service, absl::Time now);
+  // Estimates how many streams per second the engines that may generate the
+  // stream can start.
+  double PlacesPerSecond(const StreamJob& job, absl::Time now);
   absl::Duration ExpectedWait(const StreamJob& job, size_t ahead,
                               absl::Time now);
   bool HasRoom(const StreamJob& job, absl::Time now);
+  StreamRefusal RefuseVersionGone(const StreamJob& job, absl::Time now);
   StreamRefusal Refuse(const StreamJob& job, StreamRefusalReason reason,
                        absl::Duration wait, absl::Time now);
 
@@ -229,8 +242,10 @@
   ZoneName zone_;
   StreamSchedulerOptions options_;
   std::deque<StreamJob> started_;  // by priority and the client's deadline
-  // Services with a started stream that waits for capacity.
-  std::set<ServiceName> kept_for_started_;
+  // Engines whose free capacity a started stream waits for: those of a version,
+  // or all of a service.
+  std::set<std::pair<ServiceName, std::optional<SoftwareVersion>>>
+      kept_for_started_;
   // With a cached prompt; by priority and expiry time.
   std::deque<StreamJob> with_cached_prompt_;
   std::deque<StreamJob> on_time_;  // by priority and due time
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -84,7 +84,7 @@
   void OnRouteTable(const RouteTable& table);
   // Logs the parts of the version in force that can't be used.
   void LogDefects();
-  void OnBackend(const BackendRecord& record);
+  void OnBackend(BackendRecord record);
   void OnBackendRemoved(const BackendName& id, absl::Time at);
   void OnStoreReachable(bool reachable, absl::string_view reason);
   void OnDigest(const PeerDigest& digest, const Endpoint& from);
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -43,13 +43,18 @@
       return "retry_budget_used_up";
     case StreamRefusalReason::kQuarantined:
       return "quarantined";
+    case StreamRefusalReason::kVersionGone:
+      return "software_version_gone";
   }
   return "unknown";
 }
 
 StreamLifecycle::StreamLifecycle(const Services& services,
                                  const StreamTerms& terms, StreamPort& port)
-    : services_(services), terms_(terms), port_(port) {}
+    : services_(services),
+      terms_(terms),
+      port_(port),
+      software_(terms.software) {}
 
 absl::Duration StreamLifecycle::ClientTimeout(absl::Duration objective,
                                               absl::Duration pause_objective) {
@@ -77,6 +82,7 @@
     job.client_deadline = now + port_.EventTimeout();
   }
   job.is_started = is_streaming_ || terms_.is_taken_up;
+  job.software = software_;
   job.priority = terms_.priority;
   job.may_have_run = runs_ > 0 || is_streaming_ || phase_ == Phase::kPrompt ||
                      phase_ == Phase::kDecode;
@@ -286,6 +292,7 @@
 bool StreamLifecycle::IsDecodeLost(const Step& step, absl::Time now) const {
   const BackendState* decode = services_.backends.Find(step.placement.decode);
   if (decode == nullptr || decode->pause_ends_at > now) return true;
+  if (software_ && decode->record.software != *software_) return true;
   return !step.placed_on_suspect && decode->IsSuspect(now);
 }
 
@@ -311,8 +318,9 @@
   ++runs_;
   step_->started = now;
   const BackendName& engine = step_->placement.decode;
-  step_->engine_started_ms =
-      services_.backends.Find(engine)->record.born_unix_ms;
+  const BackendRecord& record = services_.backends.Find(engine)->record;
+  step_->engine_started_ms = record.born_unix_ms;
+  step_->software = record.software;
   longest_gap_ = absl::ZeroDuration();
   is_run_streaming_ = false;
   is_run_written_ = false;
@@ -327,6 +335,7 @@
   last_event_ = now;
   handle_made_.reset();
   is_streaming_ = true;
+  if (!software_) software_ = step_->software;
   is_run_streaming_ = true;
   run_written_since_ = now;
   OnAlive(now);
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -25,6 +25,8 @@
 // Time in which refused streams count for the Retry-After of later refusals.
 constexpr absl::Duration kRefusedMemory = absl::Seconds(2);
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(200);
+// Servers that have crashed are back after some seconds.
+constexpr absl::Duration kRetryAfterVersionGone = absl::Seconds(1);
 // Memory assumed for engines without configured traits.
 constexpr uint64_t kDefaultMemoryTokens = 32768;
 // Range of the delay after a peer's usage update: for a dozen fronts, and one
@@ -114,24 +116,25 @@
   return prompt + options_.first_event_overhead;
 }
 
-double StreamScheduler::PlacesPerSecond(const ServiceName& service,
-                                        absl::Time now) {
-  auto traits = engines_.find(service);
+double StreamScheduler::PlacesPerSecond(const StreamJob& job, absl::Time now) {
+  auto traits = engines_.find(job.service);
   double memory = static_cast<double>(traits == engines_.end()
                                           ? kDefaultMemoryTokens
                                           : traits->second.memory_tokens);
+  auto is_usable = [&](const BackendState& it) { return IsUsable(it, job); };
   memory *= static_cast<double>(
-      backends_.Candidates(service, GeneratesStreams, {}, now).size());
+      backends_.Candidates(job.service, is_usable, {}, now).size());
   double per_stream = memory_per_stream_ > 0 ? memory_per_stream_ : 4000;
   return memory * options_.memory_fill / per_stream / stream_seconds_;
 }
 
 absl::Duration StreamScheduler::ExpectedWait(const StreamJob& job, size_t ahead,
                                              absl::Time now) {
-  double rate = PlacesPerSecond(job.service, now);
+  double rate = PlacesPerSecond(job, now);
   if (rate <= 0) {
+    auto is_usable = [&](const BackendState& it) { return IsUsable(it, job); };
     std::optional<absl::Time> quiet_end =
-        backends_.FirstPauseEnd(job.service, GeneratesStreams, now);
+        backends_.FirstPauseEnd(job.service, is_usable, now);
     return quiet_end ? *quiet_end - now : absl::InfiniteDuration();
   }
   return absl::Seconds(static_cast<double>(ahead) / rate);
@@ -193,7 +196,7 @@
   double age = absl::FDivDuration(now - refused_at_, kRefusedMemory);
   refused_ = refused_ * std::exp2(-std::max(0.0, age)) + 1;
   refused_at_ = now;
-  double rate = PlacesPerSecond(job.service, now);
+  double rate = PlacesPerSecond(job, now);
   if (rate <= 0) return wait;
   // Each front knows only what it refused itself.
   return wait + absl::Seconds(refused_ * fronts_ / rate);
@@ -207,8 +210,15 @@
   return {job.id, reason, JitteredRetryAfter(base, job.id.value())};
 }
 
+StreamRefusal StreamScheduler::RefuseVersionGone(const StreamJob& job,
+                                                 absl::Time now) {
+  return Refuse(job, StreamRefusalReason::kVersionGone, kRetryAfterVersionGone,
+                now);
+}
+
 std::optional<StreamRefusal> StreamScheduler::Submit(StreamJob job,
                                                      absl::Time now) {
+  if (!IsVersionServed(job)) return RefuseVersionGone(job, now);
   ObserveDemand(job);
   if (job.is_started) {
     bool has_place = started_.empty() && HasRoom(job, now);
@@ -277,9 +287,14 @@
                                    std::vector<StreamDecision>& out) {
   kept_for_started_.clear();
   for (auto it = started_.begin(); it != started_.end();) {
+    if (!IsVersionServed(*it)) {
+      out.push_back(RefuseVersionGone(*it, now));
+      it = started_.erase(it);
+      continue;
+    }
     std::optional<StreamPlacement> placement = Place(*it, Class::kOnTime, now);
     if (!placement) {
-      kept_for_started_.insert(it->service);
+      kept_for_started_.insert({it->service, it->software});
       ++it;
       continue;
     }
@@ -364,8 +379,6 @@
 std::optional<StreamPlacement> StreamScheduler::Place(const StreamJob& job,
                                                       Class which,
                                                       absl::Time now) {
-  bool is_kept = kept_for_started_.count(job.service) != 0;
-  if (is_kept && !job.is_started) return std::nullopt;
   BackendState* decode = ChooseDecode(job, which, now);
   if (decode == nullptr) return std::nullopt;
   StreamPlacement placement;
@@ -391,13 +404,38 @@
   return placement;
 }
 
+bool StreamScheduler::IsKeptForStarted(const BackendState& engine) const {
+  const BackendRecord& record = engine.record;
+  return kept_for_started_.count({record.service, std::nullopt}) != 0 ||
+         kept_for_started_.count({record.service, record.software}) != 0;
+}
+
+bool StreamScheduler::IsUsable(const BackendState& engine,
+                               const StreamJob& job) const {
+  if (!GeneratesStreams(engine)) return false;
+  if (job.software && engine.record.software != *job.software) return false;
+  return job.is_started || !IsKeptForStarted(engine);
+}
+
+bool StreamScheduler::IsVersionServed(const StreamJob& job) const {
+  if (!job.software) return true;
+  return std::any_of(
+      backends_.all().begin(), backends_.all().end(), [&](const auto& it) {
+        const BackendRecord& record = it.second.record;
+        return record.service == job.service &&
+               record.software == *job.software &&
+               GeneratesStreams(it.second) && !it.second.IsLeaving();
+      });
+}
+
 std::vector<BackendState*> StreamScheduler::DecodeCandidates(
     const StreamJob& job, absl::Time now) {
+  auto is_usable = [&](const BackendState& it) { return IsUsable(it, job); };
   std::vector<BackendState*> candidates =
-      backends_.Candidates(job.service, GeneratesStreams, job.excluded, now);
+      backends_.Candidates(job.service, is_usable, job.excluded, now);
   if (!candidates.empty()) return candidates;
   // Falls back to the engines where the stream failed.
-  return backends_.Candidates(job.service, GeneratesStreams, {}, now);
+  return backends_.Candidates(job.service, is_usable, {}, now);
 }
 
 BackendState* StreamScheduler::ChooseDecode(const StreamJob& job, Class which,
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -347,7 +347,10 @@
   return limit;
 }
 
-void FrontDaemon::OnBackend(const BackendRecord& record) {
+void FrontDaemon::OnBackend(BackendRecord record) {
+  if (record.software.value().empty()) {
+    record.software = record.UnstatedSoftware();
+  }
   const BackendState* known = context_.backends.Find(record.id);
   std::optional<Endpoint> old_endpoint;
   if (known != nullptr) old_endpoint = known->record.endpoint;
--- a/unittests/dispatch/started_streams_test.cc
+++ b/unittests/dispatch/started_streams_test.cc
@@ -24,7 +24,7 @@
     scheduler.SetEngineTraits({{kService, traits}});
   }
 
-  void Add(int n) {
+  void Add(int n, const std::string& software = "v1") {
     for (EngineStage stage : {EngineStage::kPrefill, EngineStage::kDecode}) {
       BackendRecord record;
       record.id = BackendName(StageName(stage) + std::to_string(n));
@@ -32,6 +32,7 @@
       record.zone = ZoneName("a");
       record.slots = 64;
       record.stage = stage;
+      record.software = SoftwareVersion(software);
       table.Upsert(record);
     }
   }
@@ -145,5 +146,56 @@
   CHECK(fleet.Place(kStart).front() == 2);
 }
 
+TEST_CASE("stream that has started goes to an engine of another version",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.Add(1, "v2");
+  for (const char* version : {"v2", "v1"}) {
+    StreamJob job = SmallFleet::Started(1, kStart);
+    job.software = SoftwareVersion(version);
+    CHECK_FALSE(fleet.scheduler.Submit(job, kStart));
+    CHECK(fleet.Place(kStart).size() == 1);
+    const BackendName& engine = fleet.placements.back().decode;
+    CHECK(fleet.table.Find(engine)->record.software.value() == version);
+  }
+  StreamJob job = SmallFleet::Started(2, kStart);
+  job.software = SoftwareVersion("v3");
+  std::optional<StreamRefusal> refusal = fleet.scheduler.Submit(job, kStart);
+  REQUIRE(refusal);
+  CHECK(refusal->reason == StreamRefusalReason::kVersionGone);
+}
+
+TEST_CASE("stream waits on after the last engine of its version has left",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.Add(1, "v2");
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(2, kStart), kStart));
+  CHECK(fleet.Place(kStart).size() == 2);
+  StreamJob job = SmallFleet::Started(3, kStart);
+  job.software = SoftwareVersion("v2");
+  CHECK_FALSE(fleet.scheduler.Submit(job, kStart));
+  CHECK(fleet.Place(kStart).empty());
+  fleet.table.ReportLeaving(BackendName("decode1"), kStart);
+  CHECK(fleet.Place(kStart).empty());
+  CHECK(fleet.refused == std::vector<uint64_t>{3});
+}
+
+TEST_CASE("new streams wait for a started one of another version",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.Add(1, "v2");
+  StreamJob first = SmallFleet::Started(1, kStart);
+  first.software = SoftwareVersion("v2");
+  CHECK_FALSE(fleet.scheduler.Submit(first, kStart));
+  CHECK(fleet.Place(kStart).size() == 1);
+  StreamJob second = SmallFleet::Started(2, kStart);
+  second.software = SoftwareVersion("v2");
+  CHECK_FALSE(fleet.scheduler.Submit(second, kStart));
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(3, kStart), kStart));
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{3});
+  CHECK(fleet.placements.back().decode == BackendName("decode0"));
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/dispatch/stream_replacement_test.cc
+++ b/unittests/dispatch/stream_replacement_test.cc
@@ -122,8 +122,13 @@
     it.port.repeats_left = 1;  // the prompt and the stream need one each
   } else if (reason == "quarantined") {
     Quarantine(it);
-  } else if (reason == "queue_too_long") {
+  } else if (reason == "software_version_gone") {
     for (const char* id : {"d0", "d1"}) it.table.Remove(BackendName(id));
+  } else if (reason == "queue_too_long") {
+    for (const char* id : {"d0", "d1"}) {
+      it.table.ReportPauseRequest(BackendName(id), it.now + absl::Seconds(20),
+                                  it.now);
+    }
   } else {
     bool is_first = it.port.decodes[0] == "d0";
     it.table.Remove(BackendName(is_first ? "d1" : "d0"));
@@ -134,7 +139,7 @@
           "[dispatch]") {
   std::string reason =
       GENERATE(as<std::string>(), "retry_budget_used_up", "quarantined",
-               "queue_too_long", "no_other_engine");
+               "queue_too_long", "software_version_gone", "no_other_engine");
   bool is_event_late = GENERATE(true, false);
   INFO(reason);
   Stream it(/*resumable=*/true, /*decode_engines=*/2);
