Streams that clients took up went on at another software version

Cause: where a stream goes on was decided without knowing where it began.

Change: when a front passes on the head of a resumable stream, it records the stream's service and version under the attempt's id, in a key of the store that expires when no client can come back. A record is never changed, so an old copy is as good as a new one, and no front's idea of which versions serve is used. A take-up goes by its record, known from the store's watch, from a peer or read afresh; without one, or when no engine of its version is left, it is refused at once with a Retry-After. It goes on at the service that began it, too. After the store's return from a copy a front writes its own again. Changes of records alone end a front's pause between two watch calls later.

Two tests change: the client that has seen all events now names the attempt that brought them, as the platform's clients do, after a first attempt that did; the soak's client does so as well.

--- a/include/chervilwick/dispatch/route_table.h
+++ b/include/chervilwick/dispatch/route_table.h
@@ -109,6 +109,9 @@
   // Whether streams reserve their place at a decode engine before the prompt is
   // read: client accounts compete for the engines, which offer reservations.
   bool ReservesPlaces(const ServiceName& service) const;
+  // How long after its first event a client may come back for a stream: as long
+  // as the longest of all resumable routes may take twice, and a margin.
+  absl::Duration LongestStreamLife() const;
   // Whether client accounts compete for the engines.
   bool HasCompetition() const { return accounts.has_value(); }
   // Most urgent priority that streams of accounts may have; nullopt if all have
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -169,6 +169,9 @@
   void ObserveStream(absl::Duration taken);
   // Sets the number of streams that wait at the other fronts.
   void SetPeersWaiting(size_t streams) { peers_waiting_ = streams; }
+  // Whether an engine of that version generates streams and does not leave.
+  bool IsVersionServed(const ServiceName& service,
+                       const SoftwareVersion& software) const;
   void SetOverloadPolicy(const OverloadPolicy& policy) { policy_ = policy; }
   // Sets the number of fronts that place streams, this one included.
   void SetFrontCount(uint32_t fronts) { fronts_ = fronts; }
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -62,6 +62,8 @@
   std::function<absl::Duration()> store_age;
   // Set by the daemon once it listens.
   EventHttpServer* server = nullptr;
+  // Records where a stream that clients may take up has begun.
+  std::function<void(const StreamOrigin&)> record_origin;
   // Requests a scheduling round without delay.
   std::function<void()> wake_scheduler;
   // Route of that name in the configuration in force; null if there is none.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -19,6 +19,7 @@
 #include "chervilwick/front/relay.h"
 #include "chervilwick/front/stage_keeper.h"
 #include "chervilwick/front/store_sync.h"
+#include "chervilwick/front/stream_origins.h"
 #include "chervilwick/front/stream_relay.h"
 
 namespace chervilwick {
@@ -60,13 +61,20 @@
     Endpoint client;
     HttpRequest request;
     absl::Time arrived;
-    int holds = 0;  // times that it waited for the peers
+    int holds = 0;  // times that it waited for the peers or the store
+    // The store was asked for the origin of the stream that it takes up.
+    bool is_origin_read = false;
   };
 
   void OnRequest(ArrivedRequest arrived);
   // Handles a request again shortly, once the peers know what its account used.
   void Hold(ArrivedRequest arrived, absl::Duration delay);
   void ReleaseHeld();
+  // Finds where the stream began that the request takes up, and the service to
+  // go on at. Rejects the request, or holds it until more is known, if it can't
+  // go on now; returns whether it can.
+  bool ResolveOrigin(ArrivedRequest& arrived, AdmittedRequest& admitted);
+  void ReadOrigin(const std::string& attempt, ArrivedRequest arrived);
   void OnClientGone(ExchangeId id);
   void Admit(AdmittedRequest admitted);
   // Finds the account of the request's key. Rejects the request if its route
@@ -139,6 +147,7 @@
   PeerCopy peer_copy_;
   StageController stages_;
   CrashRecords crash_records_;
+  StreamOrigins origins_;
   Timer answer_excess_;
   Timer scheduler_wake_;
   absl::Time scheduler_due_ = absl::InfiniteFuture();
@@ -147,6 +156,7 @@
   std::map<ExchangeId, std::unique_ptr<Relay>> relays_;
   std::map<ExchangeId, StreamRelay*> streams_;
   std::map<ExchangeId, ArrivedRequest> held_;
+  std::map<ExchangeId, ArrivedRequest> awaiting_origin_;
   Timer held_timer_;
   const absl::Time started_ = absl::Now();
   bool was_ready_ = false;
--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -75,6 +75,7 @@
   uint64_t outdated_items = 0;  // older than what is known of their key
   uint64_t stalls = 0;          // times that the process did not run
   std::map<std::string, uint64_t> store_calls;  // by outcome
+  std::map<std::string, uint64_t> origins;      // of streams, by what was done
   uint64_t peer_datagrams_in = 0;
   uint64_t peer_datagrams_bad = 0;
   uint64_t peer_datagrams_out = 0;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -97,6 +97,18 @@
   bool has_more = false;
 };
 
+// Where the stream of a client attempt began.
+struct StreamOrigin {
+  std::string attempt;  // id of the attempt that brought its first event
+  ServiceName service;
+  SoftwareVersion software;
+
+  friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
+    return a.attempt == b.attempt && a.service == b.service &&
+           a.software == b.software;
+  }
+};
+
 // Parsed forms of a store item.
 struct BackendRemoved {
   BackendName id;
@@ -113,7 +125,7 @@
 };
 using ParsedStoreItem =
     std::variant<UnrelatedItem, MalformedItem, BackendRecord, BackendRemoved,
-                 RouteTable, StageDutyHolder, CrashedRun>;
+                 RouteTable, StageDutyHolder, CrashedRun, StreamOrigin>;
 
 // Part of the store that is read at startup.
 enum class StoreSection { kConfiguration, kBackends, kBrokenRuns };
@@ -156,6 +168,8 @@
   virtual std::optional<StorePage> ParsePage(absl::string_view body) const = 0;
   virtual std::optional<StorePage> ParseWatch(absl::string_view body) const = 0;
   virtual ParsedStoreItem ParseItem(const StoreItem& item) const = 0;
+  // Whether a front has to act on a change of the item within its time limits.
+  virtual bool IsUrgent(const StoreItem& item) const = 0;
   // Replaces each key of an account by its digest, which ParseItem reads like
   // the key. Returns other items unchanged.
   virtual StoreItem WithoutSecrets(StoreItem item) const = 0;
@@ -170,6 +184,14 @@
   // Writes one key for each run; the ages of runs are not stored.
   virtual HttpRequest RecordBrokenRuns(const std::vector<CrashedRun>& runs,
                                        const std::string& lease) const = 0;
+  // Writes one key for each stream.
+  virtual HttpRequest RecordStreamOrigins(
+      const std::vector<StreamOrigin>& origins,
+      const std::string& lease) const = 0;
+  virtual HttpRequest ReadStreamOrigin(const std::string& attempt) const = 0;
+  // Parses the answer to ReadStreamOrigin(); nullopt if it holds no record.
+  virtual std::optional<StreamOrigin> ParseStreamOrigin(
+      absl::string_view body) const = 0;
   virtual std::optional<uint64_t> ParseRevision(
       absl::string_view body) const = 0;
   virtual HttpRequest StageOrder(const BackendName& expected, EngineStage stage,
--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -27,6 +27,7 @@
     std::function<PeerDigest()> make_digest;
     std::function<void(const PeerDigest&, const Endpoint& from)> on_digest;
     std::function<void(const std::string& name)> on_lost;
+    std::function<void(const OriginNews&, const Endpoint& from)> on_origins;
   };
 
   PeerLink(FrontContext& context, Listener listener);
@@ -37,6 +38,12 @@
   // Sends the current use at once after streams were placed, so that the other
   // fronts don't assign the same capacity.
   void AnnounceUse();
+  void SendOrigins(const OriginNews& news, const Endpoint& peer);
+  void SendOriginsToAll(const OriginNews& news);
+  // The live peer that writes the stream's record to the store; nullopt if this
+  // front does. Few fronts write, so that many records share a call; all fronts
+  // agree on them as far as they know the same ones.
+  std::optional<Endpoint> RecorderOf(const std::string& attempt) const;
   // Replaces the seeds. Digests go to every seed, whether or not a front
   // answers there.
   void SetSeeds(const std::string& seeds);
--- a/include/chervilwick/front/peer_messages.h
+++ b/include/chervilwick/front/peer_messages.h
@@ -14,6 +14,7 @@
 #include "chervilwick/dispatch/account_limiter.h"
 #include "chervilwick/dispatch/backend_table.h"
 #include "chervilwick/dispatch/crash_suspects.h"
+#include "chervilwick/front/outside_protocol.h"
 #include "chervilwick/front/store_revision.h"
 #include "chervilwick/net/socket.h"
 
@@ -50,6 +51,24 @@
   AccountUse accounts;                 // changed totals
 };
 
+// Records of streams, as a message of its own, which older fronts skip.
+struct OriginNews {
+  enum class Kind : uint8_t {
+    kBegan,    // the store has not acknowledged the records
+    kToWrite,  // the receiver is asked to write them to the store
+    kWritten,  // the store has acknowledged them
+  };
+  static constexpr Kind kLastKind = Kind::kWritten;
+
+  Kind kind = Kind::kBegan;
+  std::vector<StreamOrigin> origins;
+  StoreEra era;  // in which the store acknowledged them
+};
+
+std::string EncodeOrigins(const OriginNews& news);
+// Returns nullopt if the bytes are not such a message.
+std::optional<OriginNews> DecodeOrigins(absl::string_view bytes);
+
 std::string EncodeDigest(const PeerDigest& digest);
 std::string EncodeUpdate(const PeerUseUpdate& update);
 // Returns nullopt if the bytes are not a valid update.
--- a/include/chervilwick/front/relay.h
+++ b/include/chervilwick/front/relay.h
@@ -31,6 +31,8 @@
   // Of the parts of the prompt that other requests may share, in order.
   std::vector<Fingerprint> parts;
   absl::Time arrived;
+  // Set if the client takes up a stream.
+  std::optional<StreamOrigin> origin;
   Credentials credentials;
   // Set if the configuration holds accounts; empty for a request on a public
   // route without a valid key. Follows the configuration in force.
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -33,6 +33,7 @@
     // that fronts wrote since. Called after each change of `era`.
     std::function<void(StoreEra era)> on_returned;
     std::function<void(const CrashedRun&)> on_broken_run;
+    std::function<void(const StreamOrigin&)> on_stream_origin;
   };
 
   StoreSync(FrontContext& context, Listener listener);
--- a/lib/dispatch/route_table.cc
+++ b/lib/dispatch/route_table.cc
@@ -9,6 +9,8 @@
 namespace chervilwick {
 namespace {
 
+constexpr absl::Duration kStreamLifeMargin = absl::Seconds(30);
+
 absl::string_view PathOf(absl::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -55,6 +57,14 @@
          engine->longest_reservation > absl::ZeroDuration();
 }
 
+absl::Duration RouteTable::LongestStreamLife() const {
+  absl::Duration longest;
+  for (const Route& it : routes) {
+    if (it.resumable) longest = std::max(longest, it.timeout);
+  }
+  return 2 * longest + kStreamLifeMargin;
+}
+
 std::optional<int> RouteTable::UrgentPriority() const {
   std::set<int> priorities;
   bool uses_routes = !accounts || accounts->all().empty();
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -418,12 +418,15 @@
 }
 
 bool StreamScheduler::IsVersionServed(const StreamJob& job) const {
-  if (!job.software) return true;
+  return !job.software || IsVersionServed(job.service, *job.software);
+}
+
+bool StreamScheduler::IsVersionServed(const ServiceName& service,
+                                      const SoftwareVersion& software) const {
   return std::any_of(
       backends_.all().begin(), backends_.all().end(), [&](const auto& it) {
         const BackendRecord& record = it.second.record;
-        return record.service == job.service &&
-               record.software == *job.software &&
+        return record.service == service && record.software == software &&
                GeneratesStreams(it.second) && !it.second.IsLeaving();
       });
 }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -107,28 +107,31 @@
                          OnControlRequest(metrics_, id, request);
                        },
                        [](ExchangeId) {}}),
-      store_(context_, {[this](const RouteTable& it) { OnRouteTable(it); },
-                        [this](const BackendRecord& it) { OnBackend(it); },
-                        [this](const BackendName& it, absl::Time at) {
-                          OnBackendRemoved(it, at);
-                        },
-                        [this](bool reachable, absl::string_view reason) {
-                          OnStoreReachable(reachable, reason);
-                        },
-                        [this](const std::string& holder) {
-                          if (holder.empty()) {
-                            stages_.OnHolder(std::nullopt);
-                          } else {
-                            stages_.OnHolder(holder);
-                          }
-                        },
-                        [this](StoreEra era) {
-                          stages_.OnStoreReturned();
-                          crash_records_.OnStoreReturned(era);
-                        },
-                        [this](const CrashedRun& it) {
-                          MergeCrashNews({{it}, {}}, "store");
-                        }}),
+      store_(context_,
+             {[this](const RouteTable& it) { OnRouteTable(it); },
+              [this](const BackendRecord& it) { OnBackend(it); },
+              [this](const BackendName& it, absl::Time at) {
+                OnBackendRemoved(it, at);
+              },
+              [this](bool reachable, absl::string_view reason) {
+                OnStoreReachable(reachable, reason);
+              },
+              [this](const std::string& holder) {
+                if (holder.empty()) {
+                  stages_.OnHolder(std::nullopt);
+                } else {
+                  stages_.OnHolder(holder);
+                }
+              },
+              [this](StoreEra era) {
+                stages_.OnStoreReturned();
+                crash_records_.OnStoreReturned(era);
+                origins_.OnStoreReturned(era);
+              },
+              [this](const CrashedRun& it) {
+                MergeCrashNews({{it}, {}}, "store");
+              },
+              [this](const StreamOrigin& it) { origins_.Learn(it); }}),
       peers_(context_,
              {[this] {
                 PeerDigest digest;
@@ -147,6 +150,9 @@
               },
               [this](const std::string& name) {
                 context_.backends.SetPeerUse(name, {});
+              },
+              [this](const OriginNews& it, const Endpoint& from) {
+                origins_.OnNews(it, from);
               }}),
       peer_copy_(context_, store_, peers_),
       stages_(context_,
@@ -158,6 +164,7 @@
                 return services;
               }),
       crash_records_(context_),
+      origins_(context_, peers_),
       answer_excess_(loop_, [this] { context_.answers.GiveUpExcess(); }),
       scheduler_wake_(loop_, [this] { RunScheduler(); }),
       held_timer_(loop_, [this] { ReleaseHeld(); }),
@@ -189,6 +196,9 @@
       [this](const std::vector<BlamedParts>& blamed) { LogBlamed(blamed); });
   context_.suspects.SetTrialDelay(absl::Uniform(random_, 0.0, 1.0) *
                                   kMaxTrialDelay);
+  context_.record_origin = [this](const StreamOrigin& it) {
+    origins_.Record(it);
+  };
   context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
@@ -278,6 +288,7 @@
   bool keeps_routes = table_.has_unknown_routes && table_.routes.empty();
   if (keeps_routes) table_.routes = std::move(routes);
   context_.scheduler.SetEngineTraits(table_.services);
+  origins_.SetLifetime(table_.LongestStreamLife());
   ApplyLimits();
   context_.durations.KeepOnly(table_);
   if (table_.HasCompetition()) {
@@ -463,6 +474,7 @@
     context_.stats.ForgetBackend(it.value());
   }
   peer_copy_.Tick();
+  origins_.Tick();
   if (store_.is_reachable()) crash_records_.Tick();
   if (IsReady() && store_.is_reachable()) stages_.Tick();
   auto last_heard = [this](const BackendName& it) {
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -137,6 +137,11 @@
     list.Count("front_store_calls_total", "Calls to the store, by status.",
                static_cast<double>(it.second), {{"status", it.first}});
   }
+  for (const auto& it : stats.origins) {
+    list.Count("front_stream_origins_total",
+               "Records of where streams began, by what was done.",
+               static_cast<double>(it.second), {{"event", it.first}});
+  }
   for (const auto& it : stats.lost_runs) {
     list.Count("front_lost_runs_total",
                "Runs that ended without the server's whole answer, by sign.",
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -1,5 +1,6 @@
 // Admits client requests and applies the decisions of the stream scheduler.
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -23,6 +24,16 @@
 constexpr int kMaxHolds = 3;
 // Retry-After while the store can't be asked about a key.
 constexpr absl::Duration kRetryAfterStale = absl::Seconds(1);
+// Retry-After of a stream that can't be taken up: the store may be away for a
+// moment, and fronts write again what it has lost.
+constexpr absl::Duration kRetryAfterOrigin = absl::Seconds(1);
+// Interval at which a stream waits for a newer list of servers.
+constexpr absl::Duration kListWait = absl::Milliseconds(100);
+
+bool TakesUpStream(const RequestMetadata& facts) {
+  return facts.last_event || facts.first_attempt;
+}
+
 }  // namespace
 
 void FrontDaemon::Reject(ExchangeId id, const RequestMetadata& facts,
@@ -64,8 +75,58 @@
   for (auto& it : due) OnRequest(std::move(it.second));
 }
 
+bool FrontDaemon::ResolveOrigin(ArrivedRequest& arrived,
+                                AdmittedRequest& admitted) {
+  auto reject = [&](absl::string_view reason) {
+    Reject(admitted.id, admitted.facts, 503, reason,
+           JitteredRetryAfter(kRetryAfterOrigin, admitted.id.value()));
+    return false;
+  };
+  const std::optional<std::string>& attempt = admitted.facts.first_attempt;
+  if (!attempt) return reject("origin_not_named");
+  admitted.origin = origins_.Find(*attempt);
+  if (!admitted.origin) {
+    if (arrived.is_origin_read || !store_.is_reachable()) {
+      return reject("origin_unknown");
+    }
+    ReadOrigin(*attempt, std::move(arrived));
+    return false;
+  }
+  const StreamOrigin& origin = *admitted.origin;
+  const std::vector<WeightedService>& services = admitted.route.services;
+  bool is_routed = std::any_of(
+      services.begin(), services.end(),
+      [&](const WeightedService& it) { return it.service == origin.service; });
+  if (!is_routed) return reject("origin_service_gone");
+  admitted.service = origin.service;
+  if (context_.scheduler.IsVersionServed(origin.service, origin.software)) {
+    return true;
+  }
+  // The list of servers may be older than the stream.
+  if (store_.last_answer() < arrived.arrived && arrived.holds < kMaxHolds) {
+    Hold(std::move(arrived), kListWait);
+    return false;
+  }
+  return reject(ReasonText(StreamRefusalReason::kVersionGone));
+}
+
+void FrontDaemon::ReadOrigin(const std::string& attempt,
+                             ArrivedRequest arrived) {
+  ExchangeId id = arrived.id;
+  arrived.is_origin_read = true;
+  awaiting_origin_.emplace(id, std::move(arrived));
+  origins_.Read(attempt, [this, id] {
+    auto it = awaiting_origin_.find(id);
+    if (it == awaiting_origin_.end()) return;  // the client has left
+    ArrivedRequest again = std::move(it->second);
+    awaiting_origin_.erase(it);
+    OnRequest(std::move(again));
+  });
+}
+
 void FrontDaemon::OnClientGone(ExchangeId id) {
   held_.erase(id);
+  awaiting_origin_.erase(id);
   auto it = relays_.find(id);
   if (it != relays_.end()) it->second->OnClientGone();
 }
@@ -100,7 +161,11 @@
   admitted.priority = route->priority;
   if (RejectWithoutAccount(request.head, admitted)) return;
   admitted.version = table_.version;
-  admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
+  if (route->kind == RouteKind::kStream && TakesUpStream(facts)) {
+    if (!ResolveOrigin(arrived, admitted)) return;
+  } else {
+    admitted.service = PickService(*route, absl::Uniform<uint64_t>(random_));
+  }
   admitted.reserves_place = table_.ReservesPlaces(admitted.service);
   if (table_.HasCompetition()) {
     admitted.spent_before = context_.deadlines.SpentBefore(
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -35,6 +36,8 @@
 // How long the retry budget is still divided by an earlier, larger number of
 // fronts.
 constexpr absl::Duration kFrontCountRetention = absl::Seconds(60);
+// Fronts that share one which writes records of streams for them.
+constexpr size_t kFrontsPerRecorder = 32;
 constexpr size_t kMaxDatagram = 60000;
 constexpr size_t kMaxPeersNamed = 32;
 constexpr size_t kMaxUnconfirmedPeers = 64;
@@ -143,6 +146,9 @@
   } else if (std::optional<PeerUseUpdate> update = DecodeUpdate(bytes)) {
     ++context_.stats.peer_datagrams_in;
     OnUpdate(*update, from);
+  } else if (std::optional<OriginNews> news = DecodeOrigins(bytes)) {
+    ++context_.stats.peer_datagrams_in;
+    if (live_peers_.count(from) != 0) listener_.on_origins(*news, from);
   } else {
     ++context_.stats.peer_datagrams_bad;
   }
@@ -289,6 +295,30 @@
   SendUpdate(listener_.make_digest(), context_.loop.Now());
 }
 
+void PeerLink::SendOrigins(const OriginNews& news, const Endpoint& peer) {
+  Send(EncodeOrigins(news), {peer});
+}
+
+void PeerLink::SendOriginsToAll(const OriginNews& news) {
+  std::set<Endpoint> targets;
+  for (const auto& it : live_peers_) targets.insert(it.first);
+  Send(EncodeOrigins(news), targets);
+}
+
+std::optional<Endpoint> PeerLink::RecorderOf(const std::string& attempt) const {
+  std::map<uint64_t, const Endpoint*> fronts;
+  for (const auto& it : live_peers_) {
+    fronts[StableHash(it.second.digest.sender)] = &it.first;
+  }
+  fronts[StableHash(context_.settings.name)] = &self_;
+  size_t recorders = 1 + fronts.size() / kFrontsPerRecorder;
+  auto chosen =
+      std::next(fronts.begin(),
+                static_cast<std::ptrdiff_t>(StableHash(attempt) % recorders));
+  if (chosen->second == &self_) return std::nullopt;
+  return *chosen->second;
+}
+
 void PeerLink::SendDigest(PeerDigest digest, absl::Time now) {
   last_digest_ = now;
   last_sent_ = now;
--- a/lib/front/peer_messages.cc
+++ b/lib/front/peer_messages.cc
@@ -11,6 +11,7 @@
 
 constexpr uint32_t kDigestMagic = 0x63776b37;
 constexpr uint32_t kUpdateMagic = 0x63776b38;
+constexpr uint32_t kOriginsMagic = 0x63776b39;
 
 struct UseEntry {
   std::string backend;
@@ -91,6 +92,17 @@
   }
 };
 
+struct OriginEntry {
+  std::string attempt;
+  std::string service;
+  std::string software;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
+    archive(attempt, service, software);
+  }
+};
+
 struct PeerEntry {
   uint32_t ip = 0;
   uint16_t port = 0;
@@ -215,6 +227,45 @@
 
 }  // namespace
 
+std::string EncodeOrigins(const OriginNews& news) {
+  List<OriginEntry> entries;
+  for (const StreamOrigin& it : news.origins) {
+    entries.items.push_back(
+        {it.attempt, it.service.value(), it.software.value()});
+  }
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(kOriginsMagic, static_cast<uint8_t>(news.kind), entries,
+         news.era.value());
+  return bytes;
+}
+
+std::optional<OriginNews> DecodeOrigins(absl::string_view bytes) {
+  uint32_t magic = 0;
+  uint8_t kind = 0;
+  List<OriginEntry> entries;
+  uint64_t era = 0;
+  try {
+    BinaryReader reader({bytes.data(), bytes.size()});
+    reader(magic);
+    if (magic != kOriginsMagic) return std::nullopt;
+    reader(kind, entries, era);
+    if (reader.Remaining() != 0) return std::nullopt;
+  } catch (const cereal::Exception&) {
+    // The caller counts malformed datagrams.
+    return std::nullopt;
+  }
+  if (kind > static_cast<uint8_t>(OriginNews::kLastKind)) return std::nullopt;
+  OriginNews news;
+  news.kind = static_cast<OriginNews::Kind>(kind);
+  news.era = StoreEra(era);
+  for (const OriginEntry& it : entries.items) {
+    news.origins.push_back(
+        {it.attempt, ServiceName(it.service), SoftwareVersion(it.software)});
+  }
+  return news;
+}
+
 std::string EncodeDigest(const PeerDigest& digest) {
   List<UseEntry> use = ToEntries(digest.use);
   List<ChangeEntry> changing;
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -23,6 +23,9 @@
 // call. Each call has a price, and the rest of the limit is left to act on
 // them.
 constexpr double kBatchingShare = 0.1;
+// The same after changes that are not urgent, which end the call of each front
+// at any time.
+constexpr double kIdleBatchingShare = 0.3;
 // How long a removal is known; longer than the age of the copies that the store
 // returns from.
 constexpr absl::Duration kRemovalRetention = absl::Minutes(5);
@@ -307,14 +310,19 @@
     Reload();
     return;
   }
-  for (const StoreItem& it : page->items) Apply(it);
+  bool is_urgent = false;
+  for (const StoreItem& it : page->items) {
+    Apply(it);
+    is_urgent = is_urgent || context_.protocol.IsUrgent(it);
+  }
   revision_ = page->revision;
   if (page->items.empty()) {
     Call();
     return;
   }
   // Changes come in bursts. The next call fetches those of the pause together.
-  retry_.Arm(context_.settings.drain_limit * kBatchingShare);
+  retry_.Arm(context_.settings.drain_limit *
+             (is_urgent ? kBatchingShare : kIdleBatchingShare));
 }
 
 void StoreSync::Apply(const StoreItem& item) {
@@ -354,6 +362,7 @@
             if (!merged_runs_.insert(item.key).second) return;
             listener_.on_broken_run(it);
           },
+          [&](StreamOrigin& it) { listener_.on_stream_origin(it); },
           [&](StageDutyHolder& it) { listener_.on_duty_holder(it.holder); },
           [&](RouteTable& it) { ApplyTable(item, it); },
       },
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -55,7 +55,8 @@
   terms.priority = admitted.priority;
   terms.attempts = admitted.route.attempts;
   terms.resumable = admitted.route.resumable;
-  terms.is_taken_up = admitted.facts.last_event.has_value();
+  terms.is_taken_up = admitted.origin.has_value();
+  if (admitted.origin) terms.software = admitted.origin->software;
   terms.reserves_place = admitted.reserves_place;
   terms.prompt_tokens = admitted.facts.prompt_tokens;
   terms.max_output_tokens = admitted.facts.max_output_tokens;
@@ -376,6 +377,10 @@
   stream_head_ = decode_call_.head;
   context().stats.first_event[admitted().route.name].Add(Elapsed());
   Log("streaming", engine.value(), "head received");
+  if (admitted().route.resumable && !admitted().origin) {
+    context().record_origin({admitted().facts.request_id, admitted().service,
+                             *lifecycle_.software()});
+  }
   context().server->BeginStream(
       admitted().id, status,
       context().protocol.ForwardedFields(decode_call_.head));
--- a/scripts/soak/client.py
+++ b/scripts/soak/client.py
@@ -30,6 +30,7 @@
 
     def __init__(self, rng, args, number):
         self.rng, self.number, self.attempt, self.last = rng, number, 0, 0
+        self.first = None  # id of the attempt that brought the first event
         self.kind = rng.choices(("book", "look", "note", "report"), args.mix)[0]
         self.method = "POST" if self.kind == "book" or rng.random() < 0.7 else "GET"
         self.gap = rng.choice(args.gap)
@@ -100,6 +101,7 @@
                    "X-Model": "m", "X-Token-Count": "800,80"}
         if request.last:
             headers["Last-Event-Id"] = str(request.last)
+            headers["Resumes"] = request.first
         rest = wire.message(f"{request.method} {request.path} HTTP/1.1", headers, body)
         if not is_kept and self.rng.random() < LATE_SHARE:
             rest = await self.hold_back(rest, len(body), writer)
@@ -172,6 +174,7 @@
             return
         seen["events"].append([int(words[2]), words[3]])
         request.last = int(words[2])
+        request.first = request.first or ident
 
     async def run(self, request):
         """Repeats as the platform's clients do."""
@@ -185,7 +188,7 @@
             if request.kind not in REPEATED and not promised:
                 return
             if request.kind == "note":
-                request.last = 0
+                request.last, request.first = 0, None
             await asyncio.sleep(min(max(wait, 0.05), left / 3))
 
     async def main(self):
--- a/scripts/soak/peer.py
+++ b/scripts/soak/peer.py
@@ -125,6 +125,10 @@
         words = path.split("/")
         if path == "/chervilwick/kv-watch":
             return await self.watch(query)
+        if path == "/chervilwick/kv-key":
+            item = self.items.get(query.get("key", ""))
+            return (404, {}) if item is None else (
+                200, {**item, "current_rev": self.revision})
         if path == "/chervilwick/kv-range":
             prefix = query.get("prefix", "")
             items = [it for key, it in sorted(self.items.items()) if key.startswith(prefix)]
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -124,6 +124,8 @@
   Json body = Json::parse(request.body, nullptr, false);
   if (path == "/chervilwick/kv-range") {
     HandleRange(id, query["prefix"]);
+  } else if (path == "/chervilwick/kv-key") {
+    HandleKey(id, query["key"]);
   } else if (path == "/chervilwick/kv-watch") {
     HandleWatch(id, ParseUint(query["after"]),
                 absl::Milliseconds(ParseUint(query["wait_ms"])));
@@ -171,6 +173,11 @@
          {"current_rev", state_.revision}});
 }
 
+void PlatformStore::HandleKey(ExchangeId id, const std::string& key) {
+  bool is_known = state_.items.count(key) != 0;
+  Reply(id, is_known ? 200 : 404, is_known ? ItemJson(key) : Json::object());
+}
+
 void PlatformStore::HandleWatch(ExchangeId id, uint64_t after,
                                 absl::Duration wait) {
   if (after < state_.compacted_revision || after > state_.revision) {
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -80,6 +80,7 @@
 
   void OnRequest(ExchangeId id, const HttpRequest& request);
   void HandleRange(ExchangeId id, const std::string& prefix);
+  void HandleKey(ExchangeId id, const std::string& key);
   void HandleWatch(ExchangeId id, uint64_t after, absl::Duration wait);
   void HandleTransaction(ExchangeId id, const nlohmann::json& body);
   void AnswerWatch(Watch& watch);
--- a/unittests/front/broken_off_test.cc
+++ b/unittests/front/broken_off_test.cc
@@ -241,7 +241,13 @@
 TEST_CASE("client that has seen all events gets the empty rest as whole",
           "[front][broken_off]") {
   OneServer server;
-  server.it.extra_fields = {{"Last-Event-Id", "3"}};
+  auto all = [](const std::string& id) {
+    return UnframedTo(id, StreamEvents(1, 3));
+  };
+  Answer first = server.Get("/report/x", all, std::string::npos, End::kOrderly);
+  REQUIRE(first.body == StreamEvents(1, 3));
+  server.it.extra_fields = {{"Last-Event-Id", "3"},
+                            {"Resumes", absl::StrCat("id", server.it.last_id)}};
   auto whole = [](const std::string& id) { return UnframedTo(id, ""); };
   Answer answer =
       server.Get("/report/x", whole, std::string::npos, End::kOrderly);
--- a/unittests/front/peers_test.cc
+++ b/unittests/front/peers_test.cc
@@ -114,6 +114,9 @@
               [this](const std::string& name) {
                 ++lost;
                 lost_names.push_back(name);
+              },
+              [this](const OriginNews& it, const Endpoint&) {
+                news.push_back(it);
               }}) {
     digest.sender = settings.name;
     REQUIRE(link.Start());
@@ -126,6 +129,7 @@
   PeerDigest received;  // last digest received
   int lost = 0;         // peers
   std::vector<std::string> lost_names;
+  std::vector<OriginNews> news;
   PeerLink link;
 };
 
@@ -297,5 +301,26 @@
   CHECK(local.lost == 1);
 }
 
+TEST_CASE("records of streams do not reach live peers", "[front][peers]") {
+  TestDeployment deployment;
+  LinkEndpoint local(deployment, deployment.settings);
+  LinkEndpoint remote(deployment, deployment.PeerSettings("front-2"));
+  deployment.loop.RunFor(absl::Seconds(1));
+  REQUIRE(local.link.live_peer_count() == 1);
+  StreamOrigin origin{"id1", ServiceName("llm"), SoftwareVersion("v1")};
+  OriginNews news{OriginNews::Kind::kToWrite, {origin}, StoreEra(3)};
+  local.link.SendOriginsToAll(news);
+  deployment.loop.RunFor(absl::Milliseconds(20));
+  REQUIRE(remote.news.size() == 1);
+  CHECK(remote.news[0].kind == OriginNews::Kind::kToWrite);
+  CHECK(remote.news[0].origins == news.origins);
+  CHECK(remote.news[0].era == news.era);
+  std::string bytes = EncodeOrigins(news);
+  CHECK(DecodeOrigins(bytes));
+  CHECK_FALSE(DecodeOrigins(bytes + "x"));
+  CHECK_FALSE(DecodeOrigins(bytes.substr(0, bytes.size() - 1)));
+  CHECK_FALSE(DecodeDigest(bytes));
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -54,6 +54,11 @@
 
   void KillFirstFront() { fronts_.erase(fronts_.begin()); }
 
+  // Takes so long for an event.
+  void SetEventTime(absl::Duration time) {
+    for (const auto& engine : it.engines) engine.second->SetEventTime(time);
+  }
+
   void JoinNewVersion() {
     for (const char* id : {"d2", "d4"}) SetVersion(id, "v2");
   }
@@ -89,7 +94,7 @@
     return streams;
   }
 
-  // The client takes up what it has of the stream, at the other front.
+  // The client takes up what it has of the stream, at the last front.
   Stream TakeUp(const Stream& stream) {
     it.extra_fields = {
         {"Last-Event-Id", absl::StrCat(EventsOf(*stream.answer))},
@@ -252,5 +257,54 @@
   CHECK(taken.open == 0);
 }
 
+TEST_CASE("streams that began while the store was silent are not taken up",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  fleet.it.store.SetFault(PlatformStore::Fault::kSilent);
+  fleet.SetEventTime(absl::Milliseconds(60));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.RunFor(absl::Seconds(1));
+  fleet.KillFirstFront();
+  fleet.CheckTakenUp(streams);
+}
+
+TEST_CASE("streams are not taken up after the store lost where they began",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  fleet.SetEventTime(absl::Milliseconds(50));
+  fleet.it.store.KeepCopy();
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.it.store.ReturnFromCopy();
+  CHECK_FALSE(fleet.it.store.Has("streams/" + streams[0].id));
+  fleet.RunFor(absl::Milliseconds(800));
+  CHECK(fleet.it.store.Has("streams/" + streams[0].id));
+  fleet.KillFronts();
+  fleet.CheckTakenUp(streams);
+}
+
+TEST_CASE("stream is joined after the store lost where it began",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  fleet.it.store.KeepCopy();
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.it.store.ReturnFromCopy();
+  fleet.KillFronts();
+  TwoVersions::TakenUp taken = fleet.TakeUpAll(streams, absl::Milliseconds(20));
+  CHECK(taken.joined == 0);
+  CHECK(taken.open == 0);
+}
+
+TEST_CASE("stream whose client names no first attempt goes on anywhere",
+          "[front][software-versions]") {
+  TwoVersions fleet;
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(1);
+  fleet.it.extra_fields = {{"Last-Event-Id", "2"}};
+  auto answer = fleet.it.SendRequest("POST", "/report/x");
+  fleet.RunFor(absl::Milliseconds(300));
+  CHECK(answer->status == 503);
+  CHECK(!answer->head.Get("Retry-After").empty());
+  CHECK(fleet.VersionsOf({absl::StrCat("id", fleet.it.last_id)}).empty());
+}
+
 }  // namespace
 }  // namespace chervilwick
--- a/unittests/platform/protocol_test.cc
+++ b/unittests/platform/protocol_test.cc
@@ -197,6 +197,35 @@
   CHECK(std::holds_alternative<UnrelatedItem>(protocol.ParseItem(item)));
 }
 
+TEST_CASE("recorded origins of streams are parsed back unchanged",
+          "[platform]") {
+  PlatformProtocol protocol;
+  StreamOrigin origin{"9c41d07be2a35f68", ServiceName("llm"),
+                      SoftwareVersion("unstated by i-1 7")};
+  Json body =
+      Json::parse(protocol.RecordStreamOrigins({origin, origin}, "5").body);
+  REQUIRE(body["set_keys"].size() == 2);
+  Json key = body["set_keys"][0];
+  CHECK(key["lease"] == 5);
+  CHECK(protocol.ReadStreamOrigin(origin.attempt).head.target ==
+        "/chervilwick/kv-key?key=streams%2f9c41d07be2a35f68");
+  key["rev"] = 3;
+  CHECK(protocol.ParseStreamOrigin(key.dump()) == origin);
+  for (const char* value : {"{}", "[]", "", R"({"service":1,"software":"v1"})",
+                            R"({"service":"llm"})"}) {
+    key["value"] = absl::Base64Escape(value);
+    CHECK_FALSE(protocol.ParseStreamOrigin(key.dump()));
+  }
+  StoreItem item;
+  item.key = "streams/not sendable";
+  CHECK(std::holds_alternative<UnrelatedItem>(protocol.ParseItem(item)));
+  item.key = "streams/1";
+  item.removed = true;
+  CHECK(std::holds_alternative<UnrelatedItem>(protocol.ParseItem(item)));
+  CHECK_FALSE(protocol.ParseStreamOrigin("{}"));
+  CHECK_FALSE(protocol.ParseStreamOrigin("not an answer"));
+}
+
 TEST_CASE("system fields of a client's request are not forwarded",
           "[platform]") {
   HttpRequest request;
