Streams that broke off at once were refused when their clients came back

What callers saw: a stream that breaks off within its first quarter second is refused with origin_unknown when its client takes it up at once at another front.

Cause: its record takes up to 250 ms to reach the store, and a record that the store did not have was taken for one that doesn't exist.

Change: the store is asked once more after 350 ms before the take-up is refused; a record that comes by the watch or from a peer meanwhile ends the wait.

The new case of front_test passes; it was not run on the code before.

--- a/include/chervilwick/front/stream_origins.h
+++ b/include/chervilwick/front/stream_origins.h
@@ -76,6 +76,8 @@
   };
   struct Reading {
     absl::Time until;
+    // The store has no record yet; it is asked again then.
+    absl::Time ask_at = absl::InfinitePast();
     bool is_calling = false;
     std::vector<std::function<void()>> done;
   };
@@ -99,6 +101,7 @@
   void RetryLater();
   void AskDueReadings(absl::Time now);
   void Ask(const std::string& attempt);
+  void OnMissing(const std::string& attempt);
   void FinishReading(const std::string& attempt);
 
   FrontContext& context_;
--- a/lib/front/stream_origins.cc
+++ b/lib/front/stream_origins.cc
@@ -37,6 +37,9 @@
 constexpr size_t kMaxSentAtOnce = 200;
 // A client that takes up a stream waits that long for the record.
 constexpr absl::Duration kReadTime = absl::Seconds(1);
+// A client may be back before the record of a stream that broke off at once.
+// The store is asked again when the record has had time to arrive.
+constexpr absl::Duration kArrivalTime = absl::Milliseconds(350);
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(600);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -181,7 +184,7 @@
   for (const auto& it : readings_) {
     if (it.second.until <= now) {
       over.push_back(it.first);
-    } else if (!it.second.is_calling) {
+    } else if (!it.second.is_calling && it.second.ask_at <= now) {
       due.push_back(it.first);
     }
   }
@@ -322,14 +325,23 @@
                 ++context_.stats.origins["found"];
                 Learn(*origin);
               } else if (answer.status == kOk || answer.status == kNotFound) {
-                ++context_.stats.origins["missing"];
-                FinishReading(attempt);
+                OnMissing(attempt);
               } else {
                 ++context_.stats.origins["read_failed"];
               }
             });
 }
 
+void StreamOrigins::OnMissing(const std::string& attempt) {
+  Reading& reading = readings_.at(attempt);
+  if (reading.ask_at == absl::InfinitePast()) {
+    reading.ask_at = context_.loop.Now() + kArrivalTime;
+    return;
+  }
+  ++context_.stats.origins["missing"];
+  FinishReading(attempt);
+}
+
 void StreamOrigins::FinishReading(const std::string& attempt) {
   auto it = readings_.find(attempt);
   if (it == readings_.end()) return;
--- a/unittests/front/stream_origins_test.cc
+++ b/unittests/front/stream_origins_test.cc
@@ -199,6 +199,24 @@
   CHECK(front.origins.Find("c") == OriginOf("c", "v2"));
 }
 
+TEST_CASE("client that is back before the record of its stream is refused",
+          "[front][origins]") {
+  Origins front;
+  bool is_done = false;
+  front.origins.Read("a", [&] { is_done = true; });
+  front.RunFor(absl::Milliseconds(100));
+  CHECK_FALSE(is_done);
+  front.it.store.Put("streams/a", R"({"service":"llm","software":"v1"})");
+  front.RunFor(absl::Milliseconds(450));
+  CHECK(is_done);
+  CHECK(front.origins.Find("a") == OriginOf("a"));
+  // One that never comes is not waited for much longer.
+  is_done = false;
+  front.origins.Read("b", [&] { is_done = true; });
+  front.RunFor(absl::Milliseconds(550));
+  CHECK(is_done);
+}
+
 TEST_CASE("one of two streams with the same id is taken for the other",
           "[front][origins]") {
   Origins front;
