Clients that name no first attempt were refused while one version served

Cause: a take-up without the id of a first attempt was always refused.

Change: it goes on while all servers of the service that the front lists, those that leave included, have one version. With several it is refused as before. This goes by what the front believes, so a front that is out of step can join such a stream; clients that name the attempt are not affected.

--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -172,6 +172,9 @@
   // Whether an engine of that version generates streams and does not leave.
   bool IsVersionServed(const ServiceName& service,
                        const SoftwareVersion& software) const;
+  // Version of all engines that generate streams of the service, also of those
+  // that leave; nullopt if there are several, or no engine.
+  std::optional<SoftwareVersion> OnlyVersion(const ServiceName& service) const;
   void SetOverloadPolicy(const OverloadPolicy& policy) { policy_ = policy; }
   // Sets the number of fronts that place streams, this one included.
   void SetFrontCount(uint32_t fronts) { fronts_ = fronts; }
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -431,6 +431,18 @@
       });
 }
 
+std::optional<SoftwareVersion> StreamScheduler::OnlyVersion(
+    const ServiceName& service) const {
+  std::optional<SoftwareVersion> only;
+  for (const auto& it : backends_.all()) {
+    const BackendRecord& record = it.second.record;
+    if (record.service != service || !GeneratesStreams(it.second)) continue;
+    if (only && *only != record.software) return std::nullopt;
+    only = record.software;
+  }
+  return only;
+}
+
 std::vector<BackendState*> StreamScheduler::DecodeCandidates(
     const StreamJob& job, absl::Time now) {
   auto is_usable = [&](const BackendState& it) { return IsUsable(it, job); };
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -83,7 +83,16 @@
     return false;
   };
   const std::optional<std::string>& attempt = admitted.facts.first_attempt;
-  if (!attempt) return reject("origin_not_named");
+  if (!attempt) {
+    // Older clients name none.
+    admitted.service =
+        PickService(admitted.route, absl::Uniform<uint64_t>(random_));
+    std::optional<SoftwareVersion> only =
+        context_.scheduler.OnlyVersion(admitted.service);
+    if (!only) return reject("origin_not_named");
+    admitted.origin = {"", admitted.service, *only};
+    return true;
+  }
   admitted.origin = origins_.Find(*attempt);
   if (!admitted.origin) {
     if (arrived.is_origin_read || !store_.is_reachable()) {
--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -306,5 +306,21 @@
   CHECK(fleet.VersionsOf({absl::StrCat("id", fleet.it.last_id)}).empty());
 }
 
+TEST_CASE("client that names no first attempt is refused at the only version",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.RunFor(absl::Milliseconds(400));
+  fleet.it.extra_fields = {{"Last-Event-Id", "38"}};
+  auto answer = fleet.it.SendRequest("POST", "/report/x?events=40");
+  fleet.RunFor(absl::Milliseconds(400));
+  CHECK(answer->status == 200);
+  CHECK(answer->is_complete);
+  fleet.JoinNewVersion();
+  fleet.RunFor(absl::Milliseconds(600));
+  answer = fleet.it.SendRequest("POST", "/report/x?events=40");
+  fleet.RunFor(absl::Milliseconds(300));
+  CHECK(answer->status == 503);
+}
+
 }  // namespace
 }  // namespace chervilwick
