Streams were joined at servers that restarted under their ids

What callers saw: streams whose first events come from one software version and whose rest comes from another, answered 200, where a server had crashed and started again under its id at another version.

Cause: a run was taken for one of the version in the server's record. Until the record of the new start is read, that is the version of the start before, on both ends: records of streams that began there name it, and streams that are taken up, or resumed within an answer, are sent there. Nothing in the answer to a request names the start that made it. Class: a choice that has to agree with an earlier one goes by a belief.

Change: a server is asked when it started, by a question that is sent after the head of its answer has come. If it states the start of the record by which the request was sent, the run is of that start: what sent the head lived after the record was known, and the starts of a server follow each other. Then the stream is recorded, or the held answer of a stream that goes on is passed on. If it states a later one, a stream that goes on is cancelled there and sent elsewhere, the server is not used for such streams until its record comes, and a new stream is recorded once a later event, another question and the record agree. Questions about a server share a call. A stream that breaks off before its version is certain waits for it.

The cases count what clients received, no longer the runs of an attempt: a run that is cancelled before its first event is passed on joins nothing.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -59,6 +59,8 @@
   bool announced_leaving = false;
   // No requests until then: the engine's stage is being changed.
   absl::Time changing_until = absl::InfinitePast();
+  // Latest start that the server itself has stated, in Unix milliseconds.
+  int64_t stated_start_ms = 0;
   // When the entry is removed, unless discovery lists the server again.
   std::optional<absl::Time> removal_due;
 
@@ -75,6 +77,11 @@
     return suspect_until > now || peer_suspect_until > now;
   }
   bool IsLeaving() const { return record.draining || announced_leaving; }
+  // Whether the server has started again since its record was written, so that
+  // its software version is not known.
+  bool HasOutdatedRecord() const {
+    return stated_start_ms > record.born_unix_ms;
+  }
 };
 
 // What a front has learned directly about one start of a backend server, as
@@ -136,6 +143,11 @@
   void ReportSuccess(const BackendName& id, absl::Time now);
   // The server refused a request. The pause doubles with each refusal in a row.
   void ReportFull(const BackendName& id, absl::Time now);
+  // The server stated when its current start began. Returns whether its record
+  // is of an earlier one, and that was not known.
+  bool ReportStart(const BackendName& id, int64_t born_unix_ms);
+  // Whether a server has started again since its record was written.
+  bool HasOutdatedRecords() const;
   // The server announced that it is leaving. Holds for its current start, also
   // when its entry expires and is listed again. False if that was known.
   bool ReportLeaving(const BackendName& id, absl::Time now);
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -93,6 +93,12 @@
   // prompt read last, or without one for the engine to read the prompt. At most
   // one decode call is open.
   virtual void SendDecode(const BackendName& engine, bool with_handle) = 0;
+  // Asks a decode engine whose record states a start when it started;
+  // StreamLifecycle::OnStartStated() follows. At most one such question is
+  // open. The next send to a decode engine drops it.
+  virtual void AskStart(const BackendName& /*engine*/) {}
+  // The software version of the engine that began the stream is known now.
+  virtual void OnSoftwareKnown() {}
   // Cancel the open call. `sign` says why its response is not awaited. Returns
   // whether the call may have reached the engine.
   virtual bool CancelPrompt(absl::string_view sign) = 0;
@@ -185,6 +191,16 @@
   void OnPromptFailed(PromptFailure why, absl::Time now);
 
   // The decode engine's response started with a success status.
+  void OnAnswered(absl::Time now);
+  // Whether the response may be passed on: an engine that has restarted may
+  // have another software version than the one that began the stream.
+  bool IsRunCertain() const { return !software_ || is_start_certain_; }
+  // The decode engine stated when it started, in Unix milliseconds; nullopt if
+  // it can't be learned.
+  void OnStartStated(std::optional<int64_t> born_unix_ms, absl::Time now);
+  // The record of a server has changed.
+  void OnRecordChanged(const BackendName& engine, absl::Time now);
+  // The response is passed on, from its head.
   void OnStreaming(absl::Time now);
   // The decode engine sent a complete event. Partial events are not progress: a
   // stalled engine may send single bytes indefinitely.
@@ -217,8 +233,20 @@
     return *PromptStep().placement.prefill;
   }
   bool is_streaming() const { return is_streaming_; }
-  // Version of the engine that began the stream; nullopt before it has begun.
+  // Version of the engine that began the stream; nullopt before it is certain.
   const std::optional<SoftwareVersion>& software() const { return software_; }
+  // Whether events were passed on of which the version is not certain yet.
+  bool IsVersionPending() const { return has_events_ && !software_; }
+  // The start of the engine whose version IsVersionPending() waits for, if its
+  // record is known; nullopt otherwise.
+  struct ExpectedStart {
+    int64_t born_unix_ms = 0;
+    SoftwareVersion software;
+  };
+  std::optional<ExpectedStart> expected_start() const {
+    if (run_start_ms_ != run_record_.born_unix_ms) return std::nullopt;
+    return run_record_;
+  }
   uint32_t runs() const { return runs_; }
 
  private:
@@ -231,7 +259,6 @@
     bool placed_on_suspect = false;  // no other decode engine was available
     absl::Time started;              // of the call
     int64_t engine_started_ms = 0;   // start time of the called engine
-    SoftwareVersion software;        // of the called decode engine
   };
   // Progress of the replacement for a call that is still open.
   enum class Replacement { kNone, kQueued, kPrompt };
@@ -290,6 +317,21 @@
   void OnReplacementPromptFailed(PromptFailure why, absl::Time now);
   void ReportPromptFailure(const Step& step, PromptFailure why, absl::Time now);
 
+  // Whether a run has to be of a certain software version, or may have to be
+  // continued at its version.
+  bool NeedsVersion() const { return terms_.resumable || software_; }
+  void AskStart();
+  // The engine has started again, or another one than expected answers.
+  void AssumeStart(int64_t born_unix_ms, absl::Time now);
+  // Learns the version of the run's engine if its start is certain.
+  void LearnSoftware(absl::Time now);
+  // The run is not known to be of the version that it has to be of.
+  void OnUncertainRun(absl::string_view reason, absl::Time now);
+  // Waits for the version of a stream that broke off before it was certain.
+  void AwaitVersion(absl::Time now);
+  void GiveUpVersion();
+  void Resume(absl::Time now);
+
   void OnPromptTimer(absl::Time now);
   void OnDecodeTimer(absl::Time now);
   void EndStalled(absl::Time now);
@@ -337,6 +379,19 @@
   uint32_t runs_ = 0;  // decode sends that may have run
   uint32_t handle_refusals_ = 0;
   bool is_streaming_ = false;  // the client has the response head
+  bool has_events_ = false;    // of this response, passed on to the client
+  BackendName run_engine_;     // that was sent the last run
+  ExpectedStart run_record_;   // by its record at that time
+  // Start of the decode engine that the run is assumed to be of, in Unix
+  // milliseconds.
+  int64_t run_start_ms_ = 0;
+  bool is_start_certain_ = false;
+  // The engine sent a part of the run after `run_start_ms_` was known.
+  bool has_sent_since_ = false;
+  bool is_start_asked_ = false;
+  absl::Time start_ask_at_;  // when what is sent leads to the next question
+  // The stream broke off and goes on once its version is certain.
+  bool awaits_version_ = false;
   // Engines of this version alone can go on.
   std::optional<SoftwareVersion> software_;
   bool reads_at_decode_ = false;
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,12 @@
   EventHttpServer* server = nullptr;
   // Records where a stream that clients may take up has begun.
   std::function<void(const StreamOrigin&)> record_origin;
+  // Asks a backend server when it started; nullopt if it does not tell. `done`
+  // is called later.
+  std::function<void(
+      const BackendName& backend,
+      std::function<void(std::optional<int64_t> born_unix_ms)> done)>
+      ask_start;
   // Requests a scheduling round without delay.
   std::function<void()> wake_scheduler;
   // Route of that name in the configuration in force; null if there is none.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -18,6 +18,7 @@
 #include "chervilwick/front/peer_link.h"
 #include "chervilwick/front/relay.h"
 #include "chervilwick/front/stage_keeper.h"
+#include "chervilwick/front/start_queries.h"
 #include "chervilwick/front/store_sync.h"
 #include "chervilwick/front/stream_origins.h"
 #include "chervilwick/front/stream_relay.h"
@@ -148,6 +149,7 @@
   StageController stages_;
   CrashRecords crash_records_;
   StreamOrigins origins_;
+  StartQueries start_queries_;
   Timer answer_excess_;
   Timer scheduler_wake_;
   absl::Time scheduler_due_ = absl::InfiniteFuture();
--- a/include/chervilwick/front/front_stats.h
+++ b/include/chervilwick/front/front_stats.h
@@ -76,6 +76,9 @@
   uint64_t stalls = 0;          // times that the process did not run
   std::map<std::string, uint64_t> store_calls;  // by outcome
   std::map<std::string, uint64_t> origins;      // of streams, by what was done
+  // Questions to servers about their starts, by outcome.
+  std::map<std::string, uint64_t> start_queries;
+  uint64_t restarts_found = 0;  // of servers, before discovery told
   uint64_t peer_datagrams_in = 0;
   uint64_t peer_datagrams_bad = 0;
   uint64_t peer_datagrams_out = 0;
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -159,6 +159,12 @@
       absl::string_view body) const = 0;
   virtual HttpRequest DropReservation(const std::string& reservation) const = 0;
 
+  // Asks a backend server for its state.
+  virtual HttpRequest ReadServerState(const BackendName& expected) const = 0;
+  // When the server started, in Unix milliseconds, from the answer; nullopt if
+  // it doesn't say.
+  virtual std::optional<int64_t> ParseStart(absl::string_view body) const = 0;
+
   virtual HttpRequest ReadStore(StoreSection section,
                                 const std::string& after_key) const = 0;
   virtual HttpRequest WatchStore(uint64_t after_revision,
--- a/include/chervilwick/front/stream_relay.h
+++ b/include/chervilwick/front/stream_relay.h
@@ -3,6 +3,7 @@
 #ifndef CHERVILWICK_FRONT_STREAM_RELAY_H_
 #define CHERVILWICK_FRONT_STREAM_RELAY_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,10 @@
   void OnClientGone() override;
   void OnPlaced(const StreamPlacement& placement);
   void OnRefused(const StreamRefusal& refusal);
+  // Called when the record of a server has changed.
+  void OnRecordChanged(const BackendName& engine) {
+    lifecycle_.OnRecordChanged(engine, Now());
+  }
   // Called when the request is quarantined because servers crashed while
   // running it. Ends the stream if it still waits for placement.
   void OnQuarantined();
@@ -54,6 +59,8 @@
   void DropReservation() override;
   void SendPrompt(const BackendName& engine) override;
   void SendDecode(const BackendName& engine, bool with_handle) override;
+  void AskStart(const BackendName& engine) override;
+  void OnSoftwareKnown() override;
   bool CancelPrompt(absl::string_view sign) override;
   bool CancelDecode(absl::string_view sign) override;
   void ArmTimer(absl::Duration delay) override;
@@ -70,6 +77,20 @@
     absl::Time started;
     HttpHead head;
     std::string body;  // of a response that is not a stream
+    // What follows the head is kept until the run is certain to be of the
+    // version that began the stream.
+    bool is_held = false;
+    bool has_ended_held = false;
+    std::string held;
+  };
+
+  // A question to the decode engine about its start. Outlives the relay, so
+  // that a stream whose client leaves before the answer is recorded.
+  struct StartQuery {
+    StreamRelay* relay = nullptr;
+    // Set once the relay has ended: recorded if the engine started then.
+    std::optional<StreamOrigin> origin;
+    int64_t born_unix_ms = 0;
   };
 
   void Call(EngineCall& call, const BackendState& engine,
@@ -83,6 +104,16 @@
   void OnPromptFailed(absl::string_view why, PromptFailure kind);
   void OnDecodeEvent(CallEvent event);
   void OnDecodeHead(HttpHead head);
+  // Passes the response on, from its head.
+  void BeginOutput();
+  void HoldDecodeEvent(const CallEvent& event);
+  void ReleaseDecodeEvents();
+  void OnStartStated(const BackendName& engine,
+                     std::optional<int64_t> born_unix_ms);
+  void DropStartQuery();
+  // Leaves the open question to record the stream once it is answered.
+  void DetachStartQuery();
+  StreamOrigin OriginOf(const SoftwareVersion& software) const;
   void OnDecodeBytes(absl::string_view bytes);
   // Whether the head of a resumed run's answer is that of the same stream.
   bool ContinuesStream(const HttpHead& head) const;
@@ -125,6 +156,7 @@
   std::optional<Reservation> reservation_;
   EngineCall prompt_call_;
   EngineCall decode_call_;
+  std::shared_ptr<StartQuery> start_query_;
   HttpHead stream_head_;  // sent to the client
   std::optional<PromptHandle> handle_;
   std::vector<absl::Time> repeats_taken_;
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -98,6 +98,7 @@
     // Requests in flight are subtracted when they end.
     fresh.own = backend.own;
     fresh.peers = backend.peers;
+    fresh.stated_start_ms = backend.stated_start_ms;
     backend = fresh;
   }
   backend.record = record;
@@ -155,6 +156,21 @@
   return is_change;
 }
 
+bool BackendTable::ReportStart(const BackendName& id, int64_t born_unix_ms) {
+  BackendState* backend = Find(id);
+  if (backend == nullptr || born_unix_ms <= backend->stated_start_ms) {
+    return false;
+  }
+  backend->stated_start_ms = born_unix_ms;
+  return backend->HasOutdatedRecord();
+}
+
+bool BackendTable::HasOutdatedRecords() const {
+  return std::any_of(backends_.begin(), backends_.end(), [](const auto& it) {
+    return it.second.HasOutdatedRecord();
+  });
+}
+
 bool BackendTable::ReportPauseRequest(const BackendName& id, absl::Time until,
                                       absl::Time now) {
   BackendState* backend = Find(id);
--- a/lib/dispatch/stream_budget.cc
+++ b/lib/dispatch/stream_budget.cc
@@ -48,6 +48,8 @@
 void StreamLifecycle::OnWaitingTimer(absl::Time now) {
   if (now < ask_at_) {
     ArmTimer(now);
+  } else if (awaits_version_) {
+    GiveUpVersion();
   } else if (port_.HasRepeats(1)) {
     Submit(now);
   } else {
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -292,7 +292,9 @@
 bool StreamLifecycle::IsDecodeLost(const Step& step, absl::Time now) const {
   const BackendState* decode = services_.backends.Find(step.placement.decode);
   if (decode == nullptr || decode->pause_ends_at > now) return true;
-  if (software_ && decode->record.software != *software_) return true;
+  bool is_other = software_ && (decode->HasOutdatedRecord() ||
+                                decode->record.software != *software_);
+  if (is_other) return true;
   return !step.placed_on_suspect && decode->IsSuspect(now);
 }
 
@@ -320,10 +322,16 @@
   const BackendName& engine = step_->placement.decode;
   const BackendRecord& record = services_.backends.Find(engine)->record;
   step_->engine_started_ms = record.born_unix_ms;
-  step_->software = record.software;
   longest_gap_ = absl::ZeroDuration();
   is_run_streaming_ = false;
   is_run_written_ = false;
+  run_engine_ = engine;
+  run_record_ = {record.born_unix_ms, record.software};
+  run_start_ms_ = record.born_unix_ms;
+  is_start_certain_ = false;
+  has_sent_since_ = false;
+  is_start_asked_ = false;
+  start_ask_at_ = now;
   OnAlive(now);
   services_.suspects.ReportSent(terms_.content, now);
   step_->holds_reservation = false;
@@ -331,11 +339,9 @@
 }
 
 void StreamLifecycle::OnStreaming(absl::Time now) {
-  ReleasePrompt(*step_);
+  if (!has_sent_since_) OnAnswered(now);
   last_event_ = now;
-  handle_made_.reset();
   is_streaming_ = true;
-  if (!software_) software_ = step_->software;
   is_run_streaming_ = true;
   run_written_since_ = now;
   OnAlive(now);
@@ -346,6 +352,11 @@
     longest_gap_ = std::max(longest_gap_, now - silent_since_);
   }
   last_event_ = now;
+  has_events_ = true;
+  if (start_ask_at_ <= now) {
+    has_sent_since_ = true;
+    AskStart();
+  }
   if (!is_run_written_ &&
       now - run_written_since_ >= CrashSuspects::kWrittenTime) {
     is_run_written_ = true;
@@ -400,13 +411,23 @@
   Release(step_);
   excluded_.insert(decode);
   if (is_unreachable ? decode_sends_ < kMaxDecodeSends : MayResume()) {
-    if (!is_unreachable) port_.OnResumed();
-    if (!TakeOverReplacement()) Submit(now);
+    if (is_unreachable) {
+      if (!TakeOverReplacement()) Submit(now);
+    } else if (IsVersionPending()) {
+      AwaitVersion(now);
+    } else {
+      Resume(now);
+    }
     return;
   }
   End("backend_broke_off", kRetryAfterRefusal);
 }
 
+void StreamLifecycle::Resume(absl::Time now) {
+  port_.OnResumed();
+  if (!TakeOverReplacement()) Submit(now);
+}
+
 void StreamLifecycle::OnAbandoned(StreamStage stage, absl::Time now) {
   ReportLost(stage == StreamStage::kPrompt ? PromptStep() : *step_, stage,
              /*is_closed=*/false, now);
--- a/lib/dispatch/stream_replacement.cc
+++ b/lib/dispatch/stream_replacement.cc
@@ -112,6 +112,10 @@
 void StreamLifecycle::SeekReplacement(absl::Time now) {
   ask_at_ = absl::InfiniteFuture();
   if (phase_ == Phase::kDecode && !MayResume()) return;
+  if (IsVersionPending()) {
+    ask_at_ = now + kSeekInterval;
+    return;
+  }
   if (prompt_sends_ >= kMaxPromptSends) {
     if (phase_ == Phase::kPrompt) {
       ReplacePromptByDecode(now);
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -47,6 +47,11 @@
   return backend.record.stage != EngineStage::kPrefill;
 }
 
+// Whether the engine is known to have that version now.
+bool IsOfVersion(const BackendState& backend, const SoftwareVersion& software) {
+  return backend.record.software == software && !backend.HasOutdatedRecord();
+}
+
 bool ReadsPrompts(const BackendState& backend) {
   return backend.record.stage == EngineStage::kPrefill;
 }
@@ -413,7 +418,7 @@
 bool StreamScheduler::IsUsable(const BackendState& engine,
                                const StreamJob& job) const {
   if (!GeneratesStreams(engine)) return false;
-  if (job.software && engine.record.software != *job.software) return false;
+  if (job.software && !IsOfVersion(engine, *job.software)) return false;
   return job.is_started || !IsKeptForStarted(engine);
 }
 
@@ -426,7 +431,7 @@
   return std::any_of(
       backends_.all().begin(), backends_.all().end(), [&](const auto& it) {
         const BackendRecord& record = it.second.record;
-        return record.service == service && record.software == software &&
+        return record.service == service && IsOfVersion(it.second, software) &&
                GeneratesStreams(it.second) && !it.second.IsLeaving();
       });
 }
@@ -437,6 +442,7 @@
   for (const auto& it : backends_.all()) {
     const BackendRecord& record = it.second.record;
     if (record.service != service || !GeneratesStreams(it.second)) continue;
+    if (it.second.HasOutdatedRecord()) return std::nullopt;
     if (only && *only != record.software) return std::nullopt;
     only = record.software;
   }
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -165,6 +165,7 @@
               }),
       crash_records_(context_),
       origins_(context_, peers_),
+      start_queries_(context_),
       answer_excess_(loop_, [this] { context_.answers.GiveUpExcess(); }),
       scheduler_wake_(loop_, [this] { RunScheduler(); }),
       held_timer_(loop_, [this] { ReleaseHeld(); }),
@@ -199,6 +200,10 @@
   context_.record_origin = [this](const StreamOrigin& it) {
     origins_.Record(it);
   };
+  context_.ask_start = [this](const BackendName& backend,
+                              StartQueries::Done done) {
+    start_queries_.Ask(backend, std::move(done));
+  };
   context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
@@ -383,6 +388,13 @@
        {"software", record.software.value()},
        {"store_revision", store_.revision().number}});
   if (record.draining) context_.client.Forget(record.endpoint);
+  std::vector<ExchangeId> ids;
+  for (const auto& it : streams_) ids.push_back(it.first);
+  // Each of them may end.
+  for (ExchangeId id : ids) {
+    auto it = streams_.find(id);
+    if (it != streams_.end()) it->second->OnRecordChanged(record.id);
+  }
   context_.wake_scheduler();
 }
 
--- a/lib/front/front_reports.cc
+++ b/lib/front/front_reports.cc
@@ -142,6 +142,11 @@
                "Records of where streams began, by what was done.",
                static_cast<double>(it.second), {{"event", it.first}});
   }
+  for (const auto& it : stats.start_queries) {
+    list.Count("front_start_queries_total",
+               "Questions to servers about their starts, by outcome.",
+               static_cast<double>(it.second), {{"outcome", it.first}});
+  }
   for (const auto& it : stats.lost_runs) {
     list.Count("front_lost_runs_total",
                "Runs that ended without the server's whole answer, by sign.",
@@ -156,6 +161,9 @@
         stats.quota_refusals);
   count("front_resumed_streams_total", "Streams that went on elsewhere.",
         stats.resumed_streams);
+  count("front_restarts_found_total",
+        "Restarts of servers that were found before discovery told.",
+        stats.restarts_found);
   count("front_reservations_total", "Places reserved at decode engines.",
         stats.reservations);
   count("front_reservations_dropped_total", "Places reserved and not used.",
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -320,6 +320,8 @@
     Call();
     return;
   }
+  // Streams wait for the records of servers that have restarted.
+  is_urgent = is_urgent || context_.backends.HasOutdatedRecords();
   // Changes come in bursts. The next call fetches those of the pause together.
   retry_.Arm(context_.settings.drain_limit *
              (is_urgent ? kBatchingShare : kIdleBatchingShare));
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -81,6 +81,60 @@
   lifecycle_.Close();
 }
 
+void StreamRelay::AskStart(const BackendName& engine) {
+  DropStartQuery();
+  start_query_ = std::make_shared<StartQuery>();
+  start_query_->relay = this;
+  context().ask_start(
+      engine, [engine, query = start_query_,
+               &context = context()](std::optional<int64_t> born_unix_ms) {
+        if (query->relay != nullptr) {
+          query->relay->OnStartStated(engine, born_unix_ms);
+        } else if (query->origin && born_unix_ms == query->born_unix_ms) {
+          context.record_origin(*query->origin);
+        }
+      });
+}
+
+void StreamRelay::OnStartStated(const BackendName& engine,
+                                std::optional<int64_t> born_unix_ms) {
+  start_query_.reset();
+  const BackendState* state = context().backends.Find(engine);
+  bool was_outdated = state != nullptr && state->HasOutdatedRecord();
+  lifecycle_.OnStartStated(born_unix_ms, Now());
+  state = context().backends.Find(engine);
+  if (state != nullptr && state->HasOutdatedRecord() && !was_outdated) {
+    ++context().stats.restarts_found;
+    Log("server_restarted", engine.value(),
+        absl::StrCat("record of ", state->record.born_unix_ms, ", started ",
+                     state->stated_start_ms));
+  }
+  if (!is_finished()) ReleaseDecodeEvents();
+}
+
+void StreamRelay::DropStartQuery() {
+  if (start_query_) start_query_->relay = nullptr;
+  start_query_.reset();
+}
+
+void StreamRelay::DetachStartQuery() {
+  auto start = lifecycle_.expected_start();
+  if (start_query_ && lifecycle_.IsVersionPending() && start) {
+    start_query_->born_unix_ms = start->born_unix_ms;
+    start_query_->origin = OriginOf(start->software);
+  }
+  DropStartQuery();
+}
+
+StreamOrigin StreamRelay::OriginOf(const SoftwareVersion& software) const {
+  return {admitted().facts.request_id, admitted().service, software};
+}
+
+void StreamRelay::OnSoftwareKnown() {
+  if (!admitted().route.resumable || admitted().origin) return;
+  context().record_origin(OriginOf(*lifecycle_.software()));
+}
+
 void StreamRelay::Start() { lifecycle_.Start(Now()); }
 
 absl::Duration StreamRelay::EventTimeout() const {
@@ -341,12 +395,43 @@
     Log("resumed", engine.value(),
         absl::StrCat("after event ", forward.resume_after.value_or(0)));
   }
+  DropStartQuery();
   Call(decode_call_, *context().backends.Find(engine), forward,
        CallOptions::kNoBodyLimit,
        [this](CallEvent event) { OnDecodeEvent(std::move(event)); });
 }
 
+void StreamRelay::HoldDecodeEvent(const CallEvent& event) {
+  const auto* part = std::get_if<HttpBodyPart>(&event);
+  if (part == nullptr) {
+    decode_call_.has_ended_held = true;
+    return;
+  }
+  absl::StrAppend(&decode_call_.held, part->bytes);
+  CountHeld(lifecycle_.decode_engine());
+  if (decode_call_.held.size() > kMaxBufferedAnswerBytes) {
+    OnInvalidAnswer("too long");
+  }
+}
+
+void StreamRelay::ReleaseDecodeEvents() {
+  if (!decode_call_.is_held || !lifecycle_.IsRunCertain()) return;
+  CallId call = decode_call_.id;
+  std::string bytes = std::exchange(decode_call_.held, "");
+  bool has_ended = decode_call_.has_ended_held;
+  decode_call_.is_held = false;
+  BeginOutput();
+  if (!bytes.empty()) OnDecodeBytes(bytes);
+  // The bytes may have ended the call.
+  if (has_ended && decode_call_.id == call && !is_finished()) OnDecodeEnd();
+}
+
 void StreamRelay::OnDecodeEvent(CallEvent event) {
+  bool is_failure = std::holds_alternative<CallFailure>(event);
+  if (decode_call_.is_held && !is_failure) {
+    HoldDecodeEvent(event);
+    return;
+  }
   std::visit(Overloaded{
                  [&](HttpHead& head) { OnDecodeHead(std::move(head)); },
                  [&](HttpBodyPart& part) { OnDecodeBytes(part.bytes); },
@@ -364,25 +449,27 @@
   decode_call_.head = std::move(head);
   int status = decode_call_.head.status;
   if (!IsSuccess(status) || !facts.has_server_stamp) return;
-  bool is_first = !lifecycle_.is_streaming();
-  if (!is_first && !ContinuesStream(decode_call_.head)) {
+  if (lifecycle_.is_streaming() && !ContinuesStream(decode_call_.head)) {
     OnInvalidAnswer("resumed run is not an event stream");
     return;
   }
   handle_.reset();
+  lifecycle_.OnAnswered(Now());
+  decode_call_.is_held = !lifecycle_.IsRunCertain();
+  if (!decode_call_.is_held) BeginOutput();
+}
+
+void StreamRelay::BeginOutput() {
+  bool is_first = !lifecycle_.is_streaming();
   lifecycle_.OnStreaming(Now());
   // A resumed stream keeps the response head of the first engine.
   if (!is_first) return;
   MarkOutput();
   stream_head_ = decode_call_.head;
   context().stats.first_event[admitted().route.name].Add(Elapsed());
-  Log("streaming", engine.value(), "head received");
-  if (admitted().route.resumable && !admitted().origin) {
-    context().record_origin({admitted().facts.request_id, admitted().service,
-                             *lifecycle_.software()});
-  }
+  Log("streaming", lifecycle_.decode_engine().value(), "head received");
   context().server->BeginStream(
-      admitted().id, status,
+      admitted().id, decode_call_.head.status,
       context().protocol.ForwardedFields(decode_call_.head));
 }
 
@@ -441,12 +528,13 @@
 
 void StreamRelay::CountHeld(const BackendName& engine) {
   held_.Hold(engine, prompt_call_.body.size() + decode_call_.body.size() +
-                         events_.held_bytes());
+                         decode_call_.held.size() + events_.held_bytes());
 }
 
 void StreamRelay::GiveUpAnswer() {
-  bool is_prompt = prompt_call_.body.size() >
-                   decode_call_.body.size() + events_.held_bytes();
+  bool is_prompt = prompt_call_.body.size() > decode_call_.body.size() +
+                                                  decode_call_.held.size() +
+                                                  events_.held_bytes();
   EngineCall& call = is_prompt ? prompt_call_ : decode_call_;
   const std::string& engine =
       (is_prompt ? lifecycle_.prompt_engine() : lifecycle_.decode_engine())
@@ -507,7 +595,7 @@
 }
 
 void StreamRelay::OnDecodeBroken(const CallFailure& failure) {
-  decode_call_.id = CallId();
+  Cancel(decode_call_);
   const std::string& engine = lifecycle_.decode_engine().value();
   if (failure.sent) LogLostRun(engine, CallErrorText(failure.error));
   LogBackendError("decode_broke_off", engine,
@@ -570,9 +658,12 @@
 void StreamRelay::Cancel(EngineCall& call) {
   if (call.id.value() != 0) context().client.Cancel(call.id);
   call.id = CallId();
+  call.is_held = false;
+  call.held.clear();
 }
 
 void StreamRelay::CancelCalls() {
+  DetachStartQuery();
   DropReservation();
   Cancel(prompt_call_);
   Cancel(decode_call_);
--- a/scripts/soak/peer.py
+++ b/scripts/soak/peer.py
@@ -236,7 +236,8 @@
         if target.startswith("/chervilwick/"):
             report = {"stage": self.stage, "models": [], "busy": self.switching,
                       "seq": self.orders, "queued": 0, "running": self.running,
-                      "kv_used": 0, "kv_total": 100000, "handles": 0}
+                      "kv_used": 0, "kv_total": 100000, "handles": 0,
+                      "born": self.born}
             return self.reply(writer, headers, 200, json.dumps(report).encode())
         request = headers.get("x-request-id", "")
         self.log.write("arrive", id=request, engine=self.args.id, method=method, path=target,
--- a/unittests/common/platform_standin.cc
+++ b/unittests/common/platform_standin.cc
@@ -268,12 +268,12 @@
   Json entry = {{"service", options_.service},
                 {"addr", endpoint_.ToString()},
                 {"zone", options_.zone},
-                {"version", "v1"},
+                {"version", options_.version},
                 {"slots", 16},
                 {"state", state},
                 {"cold_left_ms", 0},
                 {"seq", 1},
-                {"born", 1700000000000 + crashes_}};
+                {"born", Born()}};
   if (!options_.stage.empty()) entry["stage"] = options_.stage;
   return entry.dump();
 }
@@ -369,9 +369,28 @@
   });
 }
 
+void PlatformEngine::Restart(absl::Duration down,
+                             std::function<void()> on_back) {
+  crash_mode_ = CrashMode::kClosed;
+  crash_down_ = down;
+  on_back_ = std::move(on_back);
+  Crash();
+}
+
+void PlatformEngine::Report(ExchangeId id) {
+  ++reports_;
+  if (!answers_reports_) return;
+  Json body = {{"stage", options_.stage}, {"born", Born()}};
+  server_.Respond(id, {200, {}, body.dump()});
+}
+
 void PlatformEngine::OnRequest(ExchangeId id, HttpRequest request) {
   open_.insert(id);
   if (is_down_) return;
+  if (request.head.target == "/chervilwick/report") {
+    Report(id);
+    return;
+  }
   if (request.head.target == "/chervilwick/order") {
     orders.push_back(Json::parse(request.body, nullptr, false));
     server_.Respond(id, {202, {}, ""});
@@ -404,7 +423,8 @@
     Refuse(id, request, 503);
   } else if (fault == Fault::kNeverRespond) {
     if (request.head.Get("X-Stage") == "prefill") return;
-    runs_.push_back({request.head.Get("X-Request-Id"), "", false, false});
+    runs_.push_back(
+        {request.head.Get("X-Request-Id"), "", false, false, options_.version});
   } else if (options_.stage.empty()) {
     RunPlain(id, request, fault);
   } else if (request.head.Get("X-Stage") == "prefill") {
@@ -458,7 +478,8 @@
 
 void PlatformEngine::RunPlain(ExchangeId id, const HttpRequest& request,
                               Fault fault) {
-  runs_.push_back({request.head.Get("X-Request-Id"), "", false, true});
+  runs_.push_back(
+      {request.head.Get("X-Request-Id"), "", false, true, options_.version});
   if (fault == Fault::kLoseResponse) {
     server_.Abort(id);
     return;
@@ -480,7 +501,8 @@
     return;
   }
   runs_.push_back({request.head.Get("X-Request-Id"),
-                   request.head.Get("Last-Event-Id"), false, false});
+                   request.head.Get("Last-Event-Id"), false, false,
+                   options_.version});
   if (fault == Fault::kLoseResponse) {
     server_.Abort(id);
     return;
@@ -514,8 +536,9 @@
     });
     return;
   }
-  server_.SendStream(
-      id, absl::StrCat("id: ", stream.next, "\ndata: e", stream.next, "\n\n"));
+  std::string mark = marks_events_ ? options_.version + " " : "";
+  server_.SendStream(id, absl::StrCat("id: ", stream.next, "\ndata: ", mark,
+                                      "e", stream.next, "\n\n"));
   if (stream.next++ < stream.events) {
     stream.timer->Arm(options_.event_time);
     return;
--- a/unittests/common/platform_standin.h
+++ b/unittests/common/platform_standin.h
@@ -108,6 +108,7 @@
   std::string last_event_id;
   bool cancelled = false;
   bool finished = false;
+  std::string version;  // of the engine's software
 };
 
 // Fake of a model engine or, without a stage, of a plain service. A decode
@@ -121,6 +122,7 @@
     std::string service;
     std::string stage;  // "prefill", "decode" or empty
     std::string zone = "a";
+    std::string version = "v1";
     uint64_t memory_tokens = 38000;
     absl::Duration plain_time = absl::Milliseconds(5);
     absl::Duration event_time = absl::Milliseconds(10);
@@ -167,6 +169,19 @@
   void CrashOnTarget(std::string target, CrashMode sign, absl::Duration down,
                      std::function<void()> on_back);
   int crashes() const { return crashes_; }
+  // Crashes now and restarts under the same id after `down`. The entry in the
+  // store stays as it is.
+  void Restart(
+      absl::Duration down, std::function<void()> on_back = [] {});
+  // Version of the software from now on.
+  void SetVersion(std::string version) {
+    options_.version = std::move(version);
+  }
+  // The data of each event begins with the version from now on.
+  void MarkEvents() { marks_events_ = true; }
+  // From now on, questions for the engine's state get no answer, or one again.
+  void SetAnswersReports(bool answers) { answers_reports_ = answers; }
+  int reports() const { return reports_; }
   // Announces in every response that the engine is shutting down.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
   // Retry-After value of refusals; empty for none.
@@ -198,6 +213,8 @@
   };
 
   void OnRequest(ExchangeId id, HttpRequest request);
+  int64_t Born() const { return 1700000000000 + crashes_; }
+  void Report(ExchangeId id);
   void ReservePlace(ExchangeId id, const HttpRequest& request);
   uint64_t TakenTokens() const;
   void RunPrefill(ExchangeId id, const HttpRequest& request);
@@ -238,6 +255,9 @@
   ReservationFault reservation_fault_ = ReservationFault::kNone;
   int reservations_ = 0;
   int dropped_reservations_ = 0;
+  bool marks_events_ = false;
+  bool answers_reports_ = true;
+  int reports_ = 0;
   int prefills_ = 0;
   int refusals_ = 0;
   int extra_answers_ = 0;
--- a/unittests/dispatch/lifecycle_fixture.h
+++ b/unittests/dispatch/lifecycle_fixture.h
@@ -53,6 +53,10 @@
     decodes.push_back(engine.value());
     with_handles.push_back(with_handle);
   }
+  void AskStart(const BackendName& engine) override {
+    start_questions.push_back(engine.value());
+  }
+  void OnSoftwareKnown() override { ++times_software_known; }
   bool CancelPrompt(absl::string_view /*sign*/) override {
     cancelled.push_back(open_prompt);
     cancelled_prompts.push_back(lifecycle->prompt_engine().value());
@@ -106,6 +110,8 @@
   // Silent engines at these steps, by the lifecycle's account.
   std::vector<std::string> replacement_engines;
   absl::string_view last_reason;
+  std::vector<std::string> start_questions;
+  int times_software_known = 0;
   std::vector<std::string> reservations;
   int dropped_reservations = 0;
   absl::Duration timer_delay = absl::InfiniteDuration();
--- a/unittests/front/broken_off_test.cc
+++ b/unittests/front/broken_off_test.cc
@@ -43,6 +43,7 @@
   explicit OneServer(absl::Duration shutdown_limit = absl::Seconds(8))
       : peer_([this](const HttpHead& request, const std::string&) {
           std::string whole = whole_(Id(request));
+          if (request.target == kStateTarget) return Reply(StateAnswer(1));
           if (Id(request).empty()) return Reply("HTTP/1.1 200 OK\r\n\r\n");
           size_t n = cut_ == std::string::npos ? whole.size() : cut_;
           std::this_thread::sleep_for(delay_);
--- a/unittests/front/deployment.cc
+++ b/unittests/front/deployment.cc
@@ -199,6 +199,11 @@
   for (const std::string& it : ids) engines.at(it)->SetFault(fault, count);
 }
 
+std::string StateAnswer(int64_t born) {
+  std::string body = absl::StrCat(R"({"born":)", born, "}");
+  return EncodeResponse({200, {}, body}, /*keep_alive=*/true);
+}
+
 std::string StreamEvents(int from, int to) {
   std::string out;
   for (int it = from; it <= to; ++it) {
--- a/unittests/front/deployment.h
+++ b/unittests/front/deployment.h
@@ -82,6 +82,10 @@
   std::FILE* log = nullptr;
 };
 
+// Answer of a server to the question for its state.
+std::string StateAnswer(int64_t born);
+inline constexpr char kStateTarget[] = "/chervilwick/report";
+
 // Events `from` to `to` of a stream, as encoded by engines.
 std::string StreamEvents(int from, int to);
 
--- a/unittests/front/resumed_stream_test.cc
+++ b/unittests/front/resumed_stream_test.cc
@@ -57,6 +57,7 @@
   TwoEngines(Answering first, Answering next)
       : script_([this, first = std::move(first), next = std::move(next)](
                     const HttpHead& request, const std::string&) {
+          if (request.target == kStateTarget) return Reply(StateAnswer(1));
           return calls_++ == 0 ? first(request) : next(request);
         }),
         d8_(script_),
--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -1,6 +1,7 @@
 // Streams while engines of two software versions serve.
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <map>
@@ -11,16 +12,74 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "chervilwick/support/hash.h"
 #include "deployment.h"
+#include "raw_peer.h"
 
 namespace chervilwick {
 namespace {
 
 constexpr int kDeadlineMs = 10000;
+constexpr int kEvents = 40;
 constexpr char kStream[] = "/report/x?events=40";
 
+// Path of one front to the store.
+class StorePath {
+ public:
+  StorePath(EventLoop& loop, const Endpoint& store)
+      : store_(store),
+        endpoint_(FreeEndpoint()),
+        client_(loop, absl::Seconds(3)),
+        server_(loop, {[this](ExchangeId id, const Endpoint&,
+                              const HttpRequest& request) {
+                         if (!hangs_) Forward(id, request);
+                       },
+                       [](ExchangeId) {}}) {
+    REQUIRE(server_.Listen(endpoint_));
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  void SetHanging(bool hangs) { hangs_ = hangs; }
+
+ private:
+  static bool IsFraming(const HttpField& field) {
+    return IsHopByHop(field.name) ||
+           absl::EqualsIgnoreCase(field.name, "Content-Length");
+  }
+
+  void Forward(ExchangeId id, HttpRequest request) {
+    std::vector<HttpField>& fields = request.head.fields;
+    fields.erase(std::remove_if(fields.begin(), fields.end(), IsFraming),
+                 fields.end());
+    auto response = std::make_shared<HttpResponse>();
+    client_.Start(store_, request, CallOptions(),
+                  [this, id, response](CallEvent event) {
+                    if (hangs_) return;
+                    if (auto* head = std::get_if<HttpHead>(&event)) {
+                      response->status = head->status;
+                      for (const HttpField& it : head->fields) {
+                        if (!IsFraming(it)) response->fields.push_back(it);
+                      }
+                    } else if (auto* part = std::get_if<HttpBodyPart>(&event)) {
+                      absl::StrAppend(&response->body, part->bytes);
+                    } else if (std::holds_alternative<HttpEnd>(event)) {
+                      server_.Respond(id, *response);
+                    } else {
+                      server_.Abort(id);
+                    }
+                  });
+  }
+
+  Endpoint store_;
+  Endpoint endpoint_;
+  HttpClient client_;
+  EventHttpServer server_;
+  bool hangs_ = false;
+};
+
 // Two decode engines of each version, and two fronts.
 class TwoVersions {
  public:
@@ -43,6 +102,7 @@
     it.store.Put("op/config", config.dump());
     it.settings.retry_slack = 100;
     it.log = std::tmpfile();
+    for (const auto& engine : it.engines) engine.second->MarkEvents();
     StartFronts();
   }
 
@@ -59,6 +119,33 @@
     for (const auto& engine : it.engines) engine.second->SetEventTime(time);
   }
 
+  // Three decode engines of v1, of which two start again under their ids at v2.
+  // Their entries are old until WriteEntries().
+  void AddOldVersion() { SetVersion("d4", "v1"); }
+  void RestartAtNewVersion() {
+    for (const char* id : kRestarted) {
+      it.engines.at(id)->SetVersion("v2");
+      it.engines.at(id)->Restart(absl::Milliseconds(120));
+    }
+    RunFor(absl::Milliseconds(150));
+  }
+  void WriteEntries() {
+    for (const char* id : kRestarted) {
+      it.store.Put(it.engines.at(id)->Key(), it.engines.at(id)->Entry());
+    }
+    RunFor(absl::Milliseconds(300));
+  }
+
+  // Those of the old version are away for so long.
+  void RestartOldVersion(absl::Duration down) {
+    for (const char* id : {"d1", "d3"}) {
+      PlatformEngine& engine = *it.engines.at(id);
+      engine.Restart(down, [this, &engine] {
+        it.store.Put(engine.Key(), engine.Entry());
+      });
+    }
+  }
+
   void JoinNewVersion() {
     for (const char* id : {"d2", "d4"}) SetVersion(id, "v2");
   }
@@ -81,6 +168,7 @@
     std::string id;
     std::string body;
     std::shared_ptr<Answer> answer;
+    CallId call;
   };
 
   std::vector<Stream> StartStreams(int n) {
@@ -94,6 +182,13 @@
     return streams;
   }
 
+  // The clients' connections break.
+  void BreakOff(const std::vector<Stream>& streams) {
+    for (const Stream& stream : streams) it.client.Cancel(stream.call);
+  }
+
+  void SetLastStorePathHanging(bool hangs) { last_store_.SetHanging(hangs); }
+
   // The client takes up what it has of the stream, at the last front.
   Stream TakeUp(const Stream& stream) {
     it.extra_fields = {
@@ -116,39 +211,88 @@
     for (const auto& engine : it.engines) {
       for (const EngineRun& run : engine.second->runs()) {
         if (ids.count(run.request_id) == 0) continue;
-        versions.insert(versions_.at(engine.first));
+        versions.insert(run.version);
       }
     }
     return versions;
   }
 
+  // Whether each event of a stream that was taken up came once, in order.
+  static bool IsWhole(const Answer& first, const Answer& rest) {
+    std::string body = first.body.substr(0, first.body.rfind("\n\n") + 2);
+    std::vector<std::string> lines = absl::StrSplit(body + rest.body, '\n');
+    int next = 1;
+    for (const std::string& line : lines) {
+      if (!absl::StartsWith(line, "id: ")) continue;
+      if (line != absl::StrCat("id: ", next++)) return false;
+    }
+    return next == kEvents + 1;
+  }
+
+  // Versions of the events that a client has received.
+  static std::set<std::string> VersionsIn(const std::string& body) {
+    std::set<std::string> versions;
+    for (const char* version : {"v1", "v2"}) {
+      if (absl::StrContains(body, absl::StrCat("data: ", version)))
+        versions.insert(version);
+    }
+    return versions;
+  }
+
   struct TakenUp {
-    size_t joined = 0;   // from two versions
-    size_t gone_on = 0;  // to their ends
-    size_t open = 0;     // without an end of their answers
+    size_t joined = 0;    // from two versions
+    size_t gone_on = 0;   // to their ends
+    size_t open = 0;      // without an end of their answers
+    size_t versions = 0;  // at which the streams began
   };
 
+  // For five seconds at most.
+  void RunUntilEnded(const std::vector<Stream>& streams) {
+    auto is_open = [](const Stream& stream) {
+      return !stream.answer->is_complete && !stream.answer->is_broken;
+    };
+    absl::Time end = it.loop.Now() + absl::Seconds(5);
+    while (std::any_of(streams.begin(), streams.end(), is_open) &&
+           it.loop.Now() < end) {
+      RunFor(absl::Milliseconds(50));
+    }
+  }
+
   // Takes all streams up, in the reverse order.
   TakenUp TakeUpAll(std::vector<Stream> streams, absl::Duration gap) {
     std::reverse(streams.begin(), streams.end());
+    std::vector<Stream> taken = TakeUpEach(streams, gap);
+    is_last_still_ = false;
+    return Judge(streams, taken);
+  }
+
+  std::vector<Stream> TakeUpEach(const std::vector<Stream>& streams,
+                                 absl::Duration gap) {
     std::vector<Stream> taken;
     for (const Stream& stream : streams) {
       REQUIRE(EventsOf(*stream.answer) > 0);
       taken.push_back(TakeUp(stream));
       RunFor(gap);
     }
-    is_last_still_ = false;
-    RunFor(absl::Seconds(2));
+    return taken;
+  }
+
+  // Of streams and their take-ups, once these have ended.
+  TakenUp Judge(const std::vector<Stream>& streams,
+                const std::vector<Stream>& taken) {
+    RunUntilEnded(taken);
     TakenUp result;
-    std::set<std::string> all;
+    std::string all;
     for (size_t n = 0; n < streams.size(); ++n) {
       const Answer& answer = *taken[n].answer;
-      all.insert(streams[n].id);
-      if (answer.is_complete && answer.status == 200) ++result.gone_on;
+      absl::StrAppend(&all, streams[n].answer->body);
+      bool has_ended = answer.is_complete && answer.status == 200;
+      if (has_ended && IsWhole(*streams[n].answer, answer)) ++result.gone_on;
       if (!answer.is_complete && !answer.is_broken) ++result.open;
-      if (VersionsOf({streams[n].id, taken[n].id}).size() > 1) ++result.joined;
+      std::string events = streams[n].answer->body + answer.body;
+      if (VersionsIn(events).size() > 1) ++result.joined;
     }
-    CHECK(VersionsOf(all).size() == 2);
+    result.versions = VersionsIn(all).size();
     return result;
   }
 
@@ -156,6 +300,7 @@
   // on.
   void CheckTakenUp(const std::vector<Stream>& streams) {
     TakenUp taken = TakeUpAll(streams, absl::Milliseconds(20));
+    CHECK(taken.versions == 2);
     CHECK(taken.joined == 0);
     CHECK(2 * taken.gone_on >= streams.size());
   }
@@ -163,6 +308,8 @@
   TestDeployment it;
 
  private:
+  static constexpr std::array<const char*, 2> kRestarted = {"d1", "d3"};
+
   // A front with its own event loop, so that it can be killed.
   struct Front {
     EventLoop loop;
@@ -170,9 +317,20 @@
     std::unique_ptr<FrontDaemon> daemon;
   };
 
+  // Of two fronts, the one with the lower hash writes the records and so knows
+  // them.
+  std::string LastName() const {
+    int number = 2;
+    auto name = [&] { return absl::StrCat("front-", number); };
+    while (StableHash(name()) < StableHash(it.settings.name)) ++number;
+    return name();
+  }
+
   void StartFronts() {
     StartFront(it.settings);
-    StartFront(it.PeerSettings("front-2"));
+    FrontSettings last = it.PeerSettings(LastName());
+    last.store = last_store_.endpoint().ToString();
+    StartFront(last);
     RunFor(absl::Milliseconds(600));
   }
 
@@ -187,19 +345,18 @@
   }
 
   void SetVersion(const std::string& id, const std::string& version) {
-    nlohmann::json entry = nlohmann::json::parse(it.engines.at(id)->Entry());
-    entry["version"] = version;
-    it.store.Put(it.engines.at(id)->Key(), entry.dump());
-    it.engines.at(id)->SetEventTime(absl::Milliseconds(30));
-    versions_[id] = version;
+    PlatformEngine& engine = *it.engines.at(id);
+    engine.SetVersion(version);
+    engine.SetEventTime(absl::Milliseconds(30));
+    it.store.Put(engine.Key(), engine.Entry());
   }
 
   Stream Send(const std::string& address, const std::string& body) {
     auto answer = it.SendRequest("POST", kStream, address, kDeadlineMs, body);
-    return {absl::StrCat("id", it.last_id), body, answer};
+    return {absl::StrCat("id", it.last_id), body, answer, it.last_call};
   }
 
-  std::map<std::string, std::string> versions_;
+  StorePath last_store_{it.loop, it.store.endpoint()};
   std::vector<std::unique_ptr<Front>> fronts_;
   bool is_last_still_ = false;
 };
@@ -212,7 +369,7 @@
   fleet.RunFor(absl::Seconds(4));
   for (const auto& stream : streams) {
     CHECK(stream.answer->is_complete);
-    CHECK(fleet.VersionsOf({stream.id}).size() == 1);
+    CHECK(TwoVersions::VersionsIn(stream.answer->body).size() == 1);
   }
 }
 
@@ -253,6 +410,7 @@
   fleet.KillFirstFront();
   // The requests are there when the front goes on.
   TwoVersions::TakenUp taken = fleet.TakeUpAll(streams, absl::Milliseconds(20));
+  CHECK(taken.versions == 2);
   CHECK(taken.joined == 0);
   CHECK(taken.open == 0);
 }
@@ -290,10 +448,74 @@
   fleet.it.store.ReturnFromCopy();
   fleet.KillFronts();
   TwoVersions::TakenUp taken = fleet.TakeUpAll(streams, absl::Milliseconds(20));
+  CHECK(taken.versions == 2);
   CHECK(taken.joined == 0);
   CHECK(taken.open == 0);
 }
 
+TEST_CASE("stream goes on at a server that restarted at another version",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.AddOldVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(8);
+  fleet.RestartAtNewVersion();
+  fleet.KillFirstFront();
+  fleet.RunFor(absl::Milliseconds(50));
+  TwoVersions::TakenUp taken = fleet.TakeUpAll(streams, absl::Milliseconds(20));
+  CHECK(taken.joined == 0);
+  CHECK(2 * taken.gone_on >= streams.size());
+}
+
+TEST_CASE("stream that began at a restarted server is recorded at its old one",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.AddOldVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  fleet.RestartAtNewVersion();
+  fleet.SetEventTime(absl::Milliseconds(60));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(8);
+  fleet.RunFor(absl::Milliseconds(600));
+  fleet.WriteEntries();
+  fleet.RunFor(absl::Milliseconds(300));
+  fleet.KillFirstFront();
+  fleet.CheckTakenUp(streams);
+}
+
+TEST_CASE("front ends as streams end by the record that they wait for",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.RestartAtNewVersion();
+  fleet.SetEventTime(absl::Milliseconds(60));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(6);
+  fleet.RunFor(absl::Milliseconds(700));
+  std::map<std::string, std::string> entries;
+  for (const char* id : {"d1", "d3"}) {
+    PlatformEngine& engine = *fleet.it.engines.at(id);
+    entries[engine.Key()] = engine.Entry("draining");
+    engine.Restart(absl::Milliseconds(120));
+  }
+  fleet.RunFor(absl::Milliseconds(100));
+  for (const auto& stream : streams) CHECK_FALSE(stream.answer->is_broken);
+  for (const auto& it : entries) fleet.it.store.Put(it.first, it.second);
+  fleet.RunUntilEnded(streams);
+  for (const auto& stream : streams) CHECK(stream.answer->is_broken);
+}
+
+TEST_CASE("stream goes on at a restarted server within one answer",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  fleet.AddOldVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  fleet.RestartAtNewVersion();
+  fleet.it.SetFaults({"d4"}, PlatformEngine::Fault::kAbortStream, 4);
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.RunFor(absl::Seconds(4));
+  for (const auto& stream : streams) {
+    CHECK(TwoVersions::VersionsIn(stream.answer->body).size() == 1);
+  }
+}
+
 TEST_CASE("stream whose client names no first attempt goes on anywhere",
           "[front][software-versions]") {
   TwoVersions fleet;
