Streams that go on were put before more urgent ones

Cause: streams that have started were served before all others, and while one waited no new stream took an engine of its version, however urgent.

Change: a new stream that is in time and more urgent, of the same service, goes first and is not kept off. Started streams stay ahead of all that are not more urgent.

The case "stream that has started waits behind new ones" expected the started stream before an urgent one; the users' order of classes is a promise too. It now expects all three in order. "urgent stream waits behind less urgent ones that have started" fails without the change.

--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -133,13 +133,13 @@
 absl::Duration PeerUseJitter(uint64_t draw);
 
 // Schedules streams when demand doubles within seconds while engines fail or
-// drain. Streams that have started go first: their prompts were paid for, and
-// their clients wait for the rest only. No other stream takes capacity that one
-// of them waits for. Streams whose prompt has been read follow, since its KV
-// cache expires within half a second. Streams that can still meet their latency
-// objective follow, by priority and due time. Late streams use the remaining
-// capacity. Streams that can't be served within the client's timeout are
-// refused on arrival.
+// drain. Streams that have started go before new ones that are not more urgent:
+// their prompts were paid for, and their clients wait for the rest only. No
+// such stream takes capacity that one of them waits for. Streams whose prompt
+// has been read follow, since its KV cache expires within half a second.
+// Streams that can still meet their latency objective follow, by priority and
+// due time. Late streams use the remaining capacity. Streams that can't be
+// served within the client's timeout are refused on arrival.
 class StreamScheduler {
  public:
   // Interval between scheduling passes while streams wait: well below the
@@ -195,6 +195,14 @@
                   std::vector<StreamDecision>& out);
   // Places started streams, in order, where there is room for them.
   void ServeStarted(absl::Time now, std::vector<StreamDecision>& out);
+  // Places new streams that are in time and more urgent than a started one.
+  void ServeMoreUrgent(const StreamJob& started, absl::Time now,
+                       std::vector<StreamDecision>& out);
+  // Whether a new stream that is in time and more urgent waits for a place.
+  bool HasMoreUrgent(const StreamJob& started) const;
+  // Number of started streams that are served before the stream.
+  size_t CountStartedAhead(const StreamJob& job) const;
+  void KeepForStarted(const StreamJob& started);
   // Moves streams whose prompt's KV cache has expired to the queue of streams
   // without one.
   void RequeueExpiredPrompts(absl::Time now);
@@ -223,7 +231,7 @@
                                        absl::Time now);
   // Whether the engine generates streams and may generate this one.
   bool IsUsable(const BackendState& engine, const StreamJob& job) const;
-  bool IsKeptForStarted(const BackendState& engine) const;
+  bool IsKeptForStarted(const BackendState& engine, const StreamJob& job) const;
   // Whether an engine that does not leave is left of the version that the job
   // needs, if it needs one.
   bool IsVersionServed(const StreamJob& job) const;
@@ -249,8 +257,8 @@
   StreamSchedulerOptions options_;
   std::deque<StreamJob> started_;  // by priority and the client's deadline
   // Engines whose free capacity a started stream waits for: those of a version,
-  // or all of a service.
-  std::set<std::pair<ServiceName, std::optional<SoftwareVersion>>>
+  // or all of a service; with the priority of the most urgent one.
+  std::map<std::pair<ServiceName, std::optional<SoftwareVersion>>, int>
       kept_for_started_;
   // With a cached prompt; by priority and expiry time.
   std::deque<StreamJob> with_cached_prompt_;
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -184,14 +184,25 @@
   urgent_share_ += std::min(1.0, weight) * (urgent - urgent_share_);
 }
 
+size_t StreamScheduler::CountStartedAhead(const StreamJob& job) const {
+  return static_cast<size_t>(std::count_if(
+      started_.begin(), started_.end(),
+      [&](const StreamJob& it) { return it.priority <= job.priority; }));
+}
+
 size_t StreamScheduler::CountAhead(const StreamJob& job) const {
-  if (job.is_started) return started_.size();
-  if (!IsUrgent(job)) {
-    return started_.size() + on_time_.size() + peers_waiting_ + 1;
+  auto count = [this](auto is_ahead) {
+    return static_cast<size_t>(
+        std::count_if(on_time_.begin(), on_time_.end(), is_ahead));
+  };
+  size_t ahead = CountStartedAhead(job);
+  if (job.is_started) {
+    return ahead + count([&](const StreamJob& it) {
+             return it.priority < job.priority;
+           });
   }
-  auto is_urgent = [this](const StreamJob& it) { return IsUrgent(it); };
-  return started_.size() + static_cast<size_t>(std::count_if(
-                               on_time_.begin(), on_time_.end(), is_urgent));
+  if (!IsUrgent(job)) return ahead + on_time_.size() + peers_waiting_ + 1;
+  return ahead + count([this](const StreamJob& it) { return IsUrgent(it); });
 }
 
 absl::Duration StreamScheduler::TimeToReturn(const StreamJob& job,
@@ -226,7 +237,7 @@
   if (!IsVersionServed(job)) return RefuseVersionGone(job, now);
   ObserveDemand(job);
   if (job.is_started) {
-    bool has_place = started_.empty() && HasRoom(job, now);
+    bool has_place = CountAhead(job) == 0 && HasRoom(job, now);
     absl::Duration wait = has_place ? absl::ZeroDuration()
                                     : ExpectedWait(job, CountAhead(job), now);
     if (now + wait + ServiceTime(job) > job.client_deadline) {
@@ -240,7 +251,7 @@
                      &StreamJob::prompt_cached_until);
     return std::nullopt;
   }
-  bool has_room = started_.empty() && with_cached_prompt_.empty() &&
+  bool has_room = CountStartedAhead(job) == 0 && with_cached_prompt_.empty() &&
                   on_time_.empty() && HasRoom(job, now);
   size_t ahead = has_room ? 0 : CountAhead(job);
   absl::Duration wait = ExpectedWait(job, ahead, now);
@@ -297,9 +308,11 @@
       it = started_.erase(it);
       continue;
     }
-    std::optional<StreamPlacement> placement = Place(*it, Class::kOnTime, now);
+    ServeMoreUrgent(*it, now, out);
+    std::optional<StreamPlacement> placement;
+    if (!HasMoreUrgent(*it)) placement = Place(*it, Class::kOnTime, now);
     if (!placement) {
-      kept_for_started_.insert({it->service, it->software});
+      KeepForStarted(*it);
       ++it;
       continue;
     }
@@ -308,6 +321,34 @@
   }
 }
 
+void StreamScheduler::ServeMoreUrgent(const StreamJob& started, absl::Time now,
+                                      std::vector<StreamDecision>& out) {
+  for (std::deque<StreamJob>* queue : {&with_cached_prompt_, &on_time_}) {
+    while (!queue->empty() && queue->front().priority < started.priority) {
+      std::optional<StreamPlacement> placement =
+          Place(queue->front(), Class::kOnTime, now);
+      if (!placement) break;
+      out.push_back(*placement);
+      queue->pop_front();
+    }
+  }
+}
+
+bool StreamScheduler::HasMoreUrgent(const StreamJob& started) const {
+  auto is_ahead = [&](const StreamJob& it) {
+    return it.service == started.service && it.priority < started.priority;
+  };
+  return std::any_of(with_cached_prompt_.begin(), with_cached_prompt_.end(),
+                     is_ahead) ||
+         std::any_of(on_time_.begin(), on_time_.end(), is_ahead);
+}
+
+void StreamScheduler::KeepForStarted(const StreamJob& started) {
+  auto [it, is_new] = kept_for_started_.try_emplace(
+      {started.service, started.software}, started.priority);
+  it->second = std::min(it->second, started.priority);
+}
+
 void StreamScheduler::ServeUrgent(absl::Time now,
                                   std::vector<StreamDecision>& out) {
   while (!on_time_.empty() && IsUrgent(on_time_.front())) {
@@ -409,17 +450,21 @@
   return placement;
 }
 
-bool StreamScheduler::IsKeptForStarted(const BackendState& engine) const {
+bool StreamScheduler::IsKeptForStarted(const BackendState& engine,
+                                       const StreamJob& job) const {
   const BackendRecord& record = engine.record;
-  return kept_for_started_.count({record.service, std::nullopt}) != 0 ||
-         kept_for_started_.count({record.service, record.software}) != 0;
+  auto is_kept = [&](const std::optional<SoftwareVersion>& software) {
+    auto it = kept_for_started_.find({record.service, software});
+    return it != kept_for_started_.end() && it->second <= job.priority;
+  };
+  return is_kept(std::nullopt) || is_kept(record.software);
 }
 
 bool StreamScheduler::IsUsable(const BackendState& engine,
                                const StreamJob& job) const {
   if (!GeneratesStreams(engine)) return false;
   if (job.software && !IsOfVersion(engine, *job.software)) return false;
-  return job.is_started || !IsKeptForStarted(engine);
+  return job.is_started || !IsKeptForStarted(engine, job);
 }
 
 bool StreamScheduler::IsVersionServed(const StreamJob& job) const {
--- a/unittests/dispatch/started_streams_test.cc
+++ b/unittests/dispatch/started_streams_test.cc
@@ -50,6 +50,15 @@
     return job;
   }
 
+  // It meets its objective although others wait.
+  static StreamJob InTime(uint64_t id, int priority) {
+    StreamJob job = New(id, kStart);
+    job.priority = priority;
+    job.first_event_due = kStart + absl::Seconds(20);
+    job.client_deadline = kStart + absl::Seconds(30);
+    return job;
+  }
+
   // Its objective, counted from the client's first attempt, has been missed.
   static StreamJob Started(uint64_t id, absl::Time now) {
     StreamJob job = New(id, now);
@@ -91,15 +100,52 @@
     fleet.scheduler.SetOverloadPolicy(policy);
     CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
     CHECK(fleet.Place(kStart) == std::vector<uint64_t>{1});
-    StreamJob urgent = SmallFleet::New(2, kStart);
-    urgent.priority = 0;
-    fleet.scheduler.Submit(urgent, kStart);
-    fleet.scheduler.Submit(SmallFleet::New(3, kStart), kStart);
+    CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::InTime(2, 0), kStart));
+    CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::InTime(3, 1), kStart));
     CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::Started(4, kStart), kStart));
     CHECK(fleet.Place(kStart).empty());
-    fleet.EndFirst();
-    CHECK(fleet.Place(kStart) == std::vector<uint64_t>{4});
+    for (uint64_t next : {2, 4, 3}) {
+      fleet.EndFirst();
+      CHECK(fleet.Place(kStart) == std::vector<uint64_t>{next});
+    }
+  }
+}
+
+TEST_CASE("urgent stream waits behind less urgent ones that have started",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(1, kStart), kStart));
+  CHECK(fleet.Place(kStart).size() == 1);
+  for (uint64_t id : {2, 3}) {
+    CHECK_FALSE(
+        fleet.scheduler.Submit(SmallFleet::Started(id, kStart), kStart));
   }
+  CHECK(fleet.Place(kStart).empty());
+  // It needs the whole engine, as those before it do.
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::InTime(4, 0), kStart));
+  CHECK(fleet.Place(kStart).empty());
+  fleet.EndFirst();
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{4});
+  fleet.EndFirst();
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{2});
+}
+
+TEST_CASE("stream that has started waits for an urgent one of another service",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  BackendRecord engine;
+  engine.id = BackendName("other");
+  engine.service = ServiceName("others");
+  engine.stage = EngineStage::kDecode;
+  fleet.table.Upsert(engine);
+  for (uint64_t id : {1, 2}) {
+    StreamJob urgent = SmallFleet::InTime(id, 0);
+    urgent.service = engine.service;
+    CHECK_FALSE(fleet.scheduler.Submit(urgent, kStart));
+  }
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{1});
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::Started(3, kStart), kStart));
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{3});
 }
 
 TEST_CASE("stream that has started is refused as late", "[dispatch]") {
