Front that can't reach the store refused all streams that were taken up

Cause: the record was read from the store alone, and not at all once the front had noticed the outage.

Change: peers are asked, at once if the store is away, else when it has not answered within 100 ms. A record is a fact about the past, so that a peer's copy is as good as the store's; a peer that knows two streams of that id says so. If the record names a version that the front does not list and the store has not answered since the client asked, a peer's copy of the store is taken meanwhile.

"front that can't reach the store refuses streams that peers know" fails on (none of 12 went on) and passes, as does the new case of [origins].

--- a/include/chervilwick/front/peer_copy.h
+++ b/include/chervilwick/front/peer_copy.h
@@ -25,6 +25,9 @@
   PeerCopy(FrontContext& context, StoreSync& store, const PeerLink& peers)
       : context_(context), store_(store), peers_(peers) {}
 
+  // A request of a client shows that the own copy is out of date. For a while,
+  // a peer is asked for its copy although the store seems to be reachable.
+  void Request();
   // Takes the revision of the peer's copy from its digest.
   void OnDigest(const PeerDigest& digest, const Endpoint& from);
   // Starts a request if the store is unreachable or its backend servers were
@@ -32,7 +35,9 @@
   void Tick();
 
  private:
-  void SendRequest(absl::Time now);
+  // Peer to ask now, if there is a reason to ask one.
+  std::optional<Endpoint> ChoosePeer(absl::Time now) const;
+  void SendRequest(const Endpoint& peer, absl::Time now);
   void OnEvent(const CallEvent& event);
   // Clears the call and the chosen peer. The next digest chooses one again.
   void EndCall();
@@ -43,6 +48,7 @@
   CallId call_;
   std::string body_;
   absl::Time last_request_ = absl::InfinitePast();
+  absl::Time wanted_until_ = absl::InfinitePast();
   StoreRevision newest_revision_;
   std::optional<Endpoint> newest_peer_;
   std::map<Endpoint, absl::Time> avoided_until_;  // peers that were silent
--- a/include/chervilwick/front/peer_messages.h
+++ b/include/chervilwick/front/peer_messages.h
@@ -57,8 +57,13 @@
     kBegan,    // the store has not acknowledged the records
     kToWrite,  // the receiver is asked to write them to the store
     kWritten,  // the store has acknowledged them
+    // The receiver is asked for records; only the attempts are set. It answers
+    // with one of the next two.
+    kAsked,
+    kFound,
+    kAmbiguous,  // two streams bore the attempt's id
   };
-  static constexpr Kind kLastKind = Kind::kWritten;
+  static constexpr Kind kLastKind = Kind::kAmbiguous;
 
   Kind kind = Kind::kBegan;
   std::vector<StreamOrigin> origins;
--- a/include/chervilwick/front/stream_origins.h
+++ b/include/chervilwick/front/stream_origins.h
@@ -47,9 +47,10 @@
   void OnNews(const OriginNews& news, const Endpoint& from);
   // Nullopt if it is unknown here, or if two streams bore the attempt's id.
   std::optional<StreamOrigin> Find(const std::string& attempt) const;
-  // Reads the record from the store, then calls `done`, whether or not Find()
-  // knows it now.
-  void Read(const std::string& attempt, std::function<void()> done);
+  // Reads the record from the store, and from peers if the store is away or
+  // slow, then calls `done`, whether or not Find() knows it now.
+  void Read(const std::string& attempt, bool is_store_reachable,
+            std::function<void()> done);
   // The store has returned from an older copy: this front's records are written
   // again.
   void OnStoreReturned(StoreEra era);
@@ -79,6 +80,9 @@
     // The store has no record yet; it is asked again then.
     absl::Time ask_at = absl::InfinitePast();
     bool is_calling = false;
+    // When peers are asked, which they are twice, as datagrams may be lost.
+    absl::Time ask_peers_at;
+    uint32_t times_peers_asked = 0;
     std::vector<std::function<void()>> done;
   };
 
@@ -89,6 +93,9 @@
   // Each is told several times, as datagrams may be lost.
   void TellPeers(absl::Time now);
   void OnToWrite(const OriginNews& news, const Endpoint& from);
+  void OnAsked(const OriginNews& news, const Endpoint& from);
+  void OnAmbiguous(const StreamOrigin& origin);
+  void AskPeers(absl::Time now);
   void MarkWritten(const std::vector<StreamOrigin>& origins, StoreEra era);
   // Writes the records that are due unless a call is open.
   void Write();
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -95,9 +95,7 @@
   }
   admitted.origin = origins_.Find(*attempt);
   if (!admitted.origin) {
-    if (arrived.is_origin_read || !store_.is_reachable()) {
-      return reject("origin_unknown");
-    }
+    if (arrived.is_origin_read) return reject("origin_unknown");
     ReadOrigin(*attempt, std::move(arrived));
     return false;
   }
@@ -113,6 +111,7 @@
   }
   // The list of servers may be older than the stream.
   if (store_.last_answer() < arrived.arrived && arrived.holds < kMaxHolds) {
+    peer_copy_.Request();
     Hold(std::move(arrived), kListWait);
     return false;
   }
@@ -124,7 +123,7 @@
   ExchangeId id = arrived.id;
   arrived.is_origin_read = true;
   awaiting_origin_.emplace(id, std::move(arrived));
-  origins_.Read(attempt, [this, id] {
+  origins_.Read(attempt, store_.is_reachable(), [this, id] {
     auto it = awaiting_origin_.find(id);
     if (it == awaiting_origin_.end()) return;  // the client has left
     ArrivedRequest again = std::move(it->second);
--- a/lib/front/peer_copy.cc
+++ b/lib/front/peer_copy.cc
@@ -13,6 +13,8 @@
 constexpr absl::Duration kRequestTimeout = absl::Milliseconds(500);
 // A peer that did not answer is not asked again for that long.
 constexpr absl::Duration kAvoidance = absl::Seconds(2);
+// How long a peer is asked although the store seems to be reachable.
+constexpr absl::Duration kWantedTime = absl::Milliseconds(500);
 constexpr size_t kMaxCopyBytes = size_t{8} << 20;
 
 }  // namespace
@@ -30,22 +32,37 @@
   newest_peer_ = from;
 }
 
+void PeerCopy::Request() {
+  wanted_until_ = context_.loop.Now() + kWantedTime;
+  Tick();
+}
+
+std::optional<Endpoint> PeerCopy::ChoosePeer(absl::Time now) const {
+  bool is_wanted = now < wanted_until_;
+  if (store_.is_reachable() && store_.has_backends() && !is_wanted) {
+    return std::nullopt;
+  }
+  if (newest_peer_ && store_.revision() < newest_revision_) {
+    return peers_.ControlOf(*newest_peer_);
+  }
+  // Digests are up to a second old.
+  return is_wanted ? peers_.AnyControl() : std::nullopt;
+}
+
 void PeerCopy::Tick() {
   absl::Time now = context_.loop.Now();
-  if (store_.is_reachable() && store_.has_backends()) return;
-  if (!newest_peer_ || newest_revision_ <= store_.revision()) return;
-  if (now - last_request_ < kRequestInterval) return;
   if (call_.value() != 0) {
     if (now - last_request_ < kRequestTimeout) return;
     context_.client.Cancel(call_);
-    avoided_until_[*newest_peer_] = now + kAvoidance;
+    if (newest_peer_) avoided_until_[*newest_peer_] = now + kAvoidance;
     EndCall();
     return;
   }
-  SendRequest(now);
+  if (now - last_request_ < kRequestInterval) return;
+  if (std::optional<Endpoint> peer = ChoosePeer(now)) SendRequest(*peer, now);
 }
 
-void PeerCopy::SendRequest(absl::Time now) {
+void PeerCopy::SendRequest(const Endpoint& peer, absl::Time now) {
   last_request_ = now;
   body_.clear();
   HttpRequest request;
@@ -55,7 +72,7 @@
   CallOptions options;
   options.max_body_bytes = kMaxCopyBytes;
   call_ =
-      context_.client.Start(peers_.ControlOf(*newest_peer_), request, options,
+      context_.client.Start(peer, request, options,
                             [this](const CallEvent& event) { OnEvent(event); });
 }
 
--- a/lib/front/stream_origins.cc
+++ b/lib/front/stream_origins.cc
@@ -41,6 +41,10 @@
 // The store is asked again when the record has had time to arrive.
 constexpr absl::Duration kArrivalTime = absl::Milliseconds(350);
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(600);
+// A store that works has answered by then.
+constexpr absl::Duration kStorePatience = absl::Milliseconds(100);
+constexpr absl::Duration kAskPeersInterval = absl::Milliseconds(300);
+constexpr uint32_t kTimesPeersAsked = 2;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
@@ -112,9 +116,37 @@
       // The store may have lost what it acknowledged in an earlier era.
       if (news.era >= era_) MarkWritten(news.origins, news.era);
       return;
+    case OriginNews::Kind::kAsked:
+      OnAsked(news, from);
+      return;
+    case OriginNews::Kind::kFound:
+      for (const StreamOrigin& it : news.origins) Learn(it);
+      return;
+    case OriginNews::Kind::kAmbiguous:
+      for (const StreamOrigin& it : news.origins) OnAmbiguous(it);
+      return;
   }
 }
 
+void StreamOrigins::OnAsked(const OriginNews& news, const Endpoint& from) {
+  OriginNews found{OriginNews::Kind::kFound, {}, era_};
+  OriginNews ambiguous{OriginNews::Kind::kAmbiguous, {}, era_};
+  for (const StreamOrigin& it : news.origins) {
+    auto known = known_.find(it.attempt);
+    if (known == known_.end()) continue;
+    (known->second.is_ambiguous ? ambiguous : found)
+        .origins.push_back(known->second.origin);
+  }
+  for (const OriginNews* it : {&found, &ambiguous}) {
+    if (!it->origins.empty()) peers_.SendOrigins(*it, from);
+  }
+}
+
+void StreamOrigins::OnAmbiguous(const StreamOrigin& origin) {
+  Add(origin).is_ambiguous = true;
+  FinishReading(origin.attempt);
+}
+
 void StreamOrigins::OnToWrite(const OriginNews& news, const Endpoint& from) {
   absl::Time due = context_.loop.Now() + kBatchTime;
   for (const StreamOrigin& it : news.origins) {
@@ -190,6 +222,24 @@
   }
   for (const std::string& it : due) Ask(it);
   for (const std::string& it : over) FinishReading(it);
+  AskPeers(now);
+}
+
+void StreamOrigins::AskPeers(absl::Time now) {
+  OriginNews news{OriginNews::Kind::kAsked, {}, era_};
+  for (auto& it : readings_) {
+    if (news.origins.size() == kMaxSentAtOnce) break;
+    Reading& reading = it.second;
+    bool is_due = reading.ask_peers_at <= now &&
+                  reading.times_peers_asked < kTimesPeersAsked;
+    if (!is_due) continue;
+    ++reading.times_peers_asked;
+    reading.ask_peers_at = now + kAskPeersInterval;
+    news.origins.push_back({it.first, ServiceName(), SoftwareVersion()});
+  }
+  if (news.origins.empty()) return;
+  context_.stats.origins["peers_asked"] += news.origins.size();
+  peers_.SendOriginsToAll(news);
 }
 
 void StreamOrigins::TellPeers(absl::Time now) {
@@ -303,12 +353,21 @@
   }
 }
 
-void StreamOrigins::Read(const std::string& attempt,
+void StreamOrigins::Read(const std::string& attempt, bool is_store_reachable,
                          std::function<void()> done) {
   auto [it, is_new] = readings_.try_emplace(attempt);
-  it->second.done.push_back(std::move(done));
+  Reading& reading = it->second;
+  reading.done.push_back(std::move(done));
   if (!is_new) return;
-  it->second.until = context_.loop.Now() + kReadTime;
+  absl::Time now = context_.loop.Now();
+  reading.until = now + kReadTime;
+  reading.ask_peers_at = now;
+  if (!is_store_reachable) {
+    reading.ask_at = absl::InfiniteFuture();
+    AskPeers(now);
+    return;
+  }
+  reading.ask_peers_at += kStorePatience;
   Ask(attempt);
 }
 
--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -84,8 +84,12 @@
 class TwoVersions {
  public:
   enum class NewVersion { kServes, kJoinsLater };
+  // Of the last front to the store.
+  enum class Path { kShared, kOwn };
 
-  explicit TwoVersions(NewVersion new_version = NewVersion::kServes) {
+  explicit TwoVersions(NewVersion new_version = NewVersion::kServes,
+                       Path path = Path::kShared)
+      : path_(path) {
     it.Add("d3", "llm", "decode");
     it.Add("d4", "llm", "decode");
     SetVersion("p1", "v1");
@@ -233,8 +237,9 @@
   static std::set<std::string> VersionsIn(const std::string& body) {
     std::set<std::string> versions;
     for (const char* version : {"v1", "v2"}) {
-      if (absl::StrContains(body, absl::StrCat("data: ", version)))
-        versions.insert(version);
+      bool has_events =
+          absl::StrContains(body, absl::StrCat("data: ", version));
+      if (has_events) versions.insert(version);
     }
     return versions;
   }
@@ -317,9 +322,9 @@
     std::unique_ptr<FrontDaemon> daemon;
   };
 
-  // Of two fronts, the one with the lower hash writes the records and so knows
-  // them.
-  std::string LastName() const {
+  // Of two fronts, the one with the lower hash writes the records of both. The
+  // other one has to read them.
+  std::string NameOfReader() const {
     int number = 2;
     auto name = [&] { return absl::StrCat("front-", number); };
     while (StableHash(name()) < StableHash(it.settings.name)) ++number;
@@ -328,8 +333,11 @@
 
   void StartFronts() {
     StartFront(it.settings);
-    FrontSettings last = it.PeerSettings(LastName());
-    last.store = last_store_.endpoint().ToString();
+    FrontSettings last = it.PeerSettings("front-2");
+    if (path_ == Path::kOwn) {
+      last.name = NameOfReader();
+      last.store = last_store_.endpoint().ToString();
+    }
     StartFront(last);
     RunFor(absl::Milliseconds(600));
   }
@@ -356,6 +364,7 @@
     return {absl::StrCat("id", it.last_id), body, answer, it.last_call};
   }
 
+  Path path_;
   StorePath last_store_{it.loop, it.store.endpoint()};
   std::vector<std::unique_ptr<Front>> fronts_;
   bool is_last_still_ = false;
@@ -415,6 +424,19 @@
   CHECK(taken.open == 0);
 }
 
+TEST_CASE("front that can't reach the store refuses streams that peers know",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater,
+                    TwoVersions::Path::kOwn);
+  fleet.SetLastStorePathHanging(true);
+  fleet.JoinNewVersion();
+  fleet.RunFor(absl::Milliseconds(400));
+  fleet.SetEventTime(absl::Milliseconds(50));
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.BreakOff(streams);
+  fleet.CheckTakenUp(streams);
+}
+
 TEST_CASE("streams that began while the store was silent are not taken up",
           "[front][software-versions]") {
   TwoVersions fleet;
--- a/unittests/front/stream_origins_test.cc
+++ b/unittests/front/stream_origins_test.cc
@@ -41,7 +41,7 @@
   // Returns whether the record of the attempt can be found by asking the store.
   bool Ask(const std::string& attempt) {
     bool is_done = false;
-    origins.Read(attempt, [&] { is_done = true; });
+    origins.Read(attempt, /*is_store_reachable=*/true, [&] { is_done = true; });
     RunFor(absl::Milliseconds(1300));
     CHECK(is_done);
     return origins.Find(attempt).has_value();
@@ -193,7 +193,7 @@
   CHECK_FALSE(front.Ask("b"));
   // It comes from elsewhere meanwhile.
   bool is_done = false;
-  front.origins.Read("c", [&] { is_done = true; });
+  front.origins.Read("c", /*is_store_reachable=*/true, [&] { is_done = true; });
   front.origins.Learn(OriginOf("c", "v2"));
   CHECK(is_done);
   CHECK(front.origins.Find("c") == OriginOf("c", "v2"));
@@ -203,7 +203,7 @@
           "[front][origins]") {
   Origins front;
   bool is_done = false;
-  front.origins.Read("a", [&] { is_done = true; });
+  front.origins.Read("a", /*is_store_reachable=*/true, [&] { is_done = true; });
   front.RunFor(absl::Milliseconds(100));
   CHECK_FALSE(is_done);
   front.it.store.Put("streams/a", R"({"service":"llm","software":"v1"})");
@@ -212,11 +212,43 @@
   CHECK(front.origins.Find("a") == OriginOf("a"));
   // One that never comes is not waited for much longer.
   is_done = false;
-  front.origins.Read("b", [&] { is_done = true; });
+  front.origins.Read("b", /*is_store_reachable=*/true, [&] { is_done = true; });
   front.RunFor(absl::Milliseconds(550));
   CHECK(is_done);
 }
 
+TEST_CASE("record that peers have is unknown while the store is away",
+          "[front][origins]") {
+  TwoFronts fleet;
+  fleet.first.origins.Learn(OriginOf("a"));
+  fleet.first.origins.Learn(OriginOf("b", "v1"));
+  fleet.first.origins.Learn(OriginOf("b", "v2"));
+  fleet.it.store.SetFault(PlatformStore::Fault::kSilent);
+  for (bool is_known_lost : {true, false}) {
+    // The store's silence may have been noticed or not.
+    std::string attempt = is_known_lost ? "a" : "c";
+    fleet.first.origins.Learn(OriginOf("c"));
+    bool is_done = false;
+    fleet.second.origins.Read(attempt, !is_known_lost, [&] { is_done = true; });
+    fleet.RunFor(absl::Milliseconds(250));
+    CHECK(is_done);
+    CHECK(fleet.second.origins.Find(attempt) == OriginOf(attempt));
+  }
+  bool is_done = false;
+  fleet.second.origins.Read("b", /*is_store_reachable=*/false,
+                            [&] { is_done = true; });
+  fleet.RunFor(absl::Milliseconds(250));
+  CHECK(is_done);
+  CHECK_FALSE(fleet.second.origins.Find("b"));
+  // Nobody knows it.
+  is_done = false;
+  fleet.second.origins.Read("d", /*is_store_reachable=*/false,
+                            [&] { is_done = true; });
+  fleet.RunFor(absl::Milliseconds(1200));
+  CHECK(is_done);
+  CHECK(fleet.first.news[OriginNews::Kind::kAsked] == 5);
+}
+
 TEST_CASE("one of two streams with the same id is taken for the other",
           "[front][origins]") {
   Origins front;
