Streams that go on were refused while the few servers of their version are away

Cause: a stream has a version now, and the ways out that it had while any server would do have gone: another server, another try, a new list of servers. What was left were sends to servers that had just refused a connection, four within 2 ms, each after a prompt was read, and a refusal at once when no server was listed.

Change: a stream that needs a version goes only to servers that are not in doubt: none since which this front failed to reach them, and no suspect. While it has none it waits, up to 1.5 s after the servers became unreachable, and they are asked for their state; what answers is used at once. Those that come later wait 250 ms for an answer, then get 503 (software_version_unreachable) and no prompt is read. A server whose record vanished while it could be reached is expected back for as long. Sends that reached no server don't use up the tries of such a stream.

Servers of a version that have all ended for good still end its streams, also where prefill servers of that version are left: their stage is not changed.

--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -48,6 +48,10 @@
   absl::Time last_alive = absl::InfinitePast();
   // When this front itself last failed to reach the server.
   absl::Time unreachable_at = absl::InfinitePast();
+  // Since when each attempt of this front to reach it has failed.
+  std::optional<absl::Time> unreachable_since;
+  // When the server was last asked whether it is back.
+  absl::Time last_asked = absl::InfinitePast();
   int failures_in_a_row = 0;
   // Until then the server counts as full: it refused a request.
   absl::Time full_until = absl::InfinitePast();
@@ -76,6 +80,9 @@
   bool IsSuspect(absl::Time now) const {
     return suspect_until > now || peer_suspect_until > now;
   }
+  // Whether the server may be gone: it could not be reached, and has given no
+  // sign of life since.
+  bool IsInDoubt() const { return unreachable_since.has_value(); }
   bool IsLeaving() const { return record.draining || announced_leaving; }
   // Whether the server has started again since its record was written, so that
   // its software version is not known.
--- a/include/chervilwick/dispatch/stream_lifecycle.h
+++ b/include/chervilwick/dispatch/stream_lifecycle.h
@@ -376,6 +376,7 @@
   uint32_t retries_taken_ = 0;  // from the retry budget
   uint32_t prompt_sends_ = 0;
   uint32_t decode_sends_ = 0;
+  uint32_t unreachable_sends_ = 0;
   uint32_t runs_ = 0;  // decode sends that may have run
   uint32_t handle_refusals_ = 0;
   bool is_streaming_ = false;  // the client has the response head
--- a/include/chervilwick/dispatch/stream_scheduler.h
+++ b/include/chervilwick/dispatch/stream_scheduler.h
@@ -43,6 +43,9 @@
   std::optional<SoftwareVersion> software;
   // A refusal would not tell the client that nothing has run.
   bool may_have_run = false;
+  // Set by the scheduler.
+  absl::Time queued_at;
+  bool awaits_return = false;  // of an engine that may continue it
 };
 
 // The engines that a stream is assigned to. Their capacity is reserved until it
@@ -60,12 +63,13 @@
 };
 
 enum class StreamRefusalReason {
-  kQueueTooLong,   // expected to exceed the client's timeout
-  kWaitedTooLong,  // could no longer be served within the client's timeout
-  kNoEngines,      // all engines that were tried refused it
-  kNoRetryBudget,  // a retry would exceed the retry budget
-  kQuarantined,    // such requests are suspected to crash servers
-  kVersionGone,    // no engine of the version that began it is left
+  kQueueTooLong,        // expected to exceed the client's timeout
+  kWaitedTooLong,       // could no longer be served within the client's timeout
+  kNoEngines,           // all engines that were tried refused it
+  kNoRetryBudget,       // a retry would exceed the retry budget
+  kQuarantined,         // such requests are suspected to crash servers
+  kVersionGone,         // no engine of the version that began it is left
+  kVersionUnreachable,  // those that are listed can't be reached
 };
 
 struct StreamRefusal {
@@ -169,9 +173,15 @@
   void ObserveStream(absl::Duration taken);
   // Sets the number of streams that wait at the other fronts.
   void SetPeersWaiting(size_t streams) { peers_waiting_ = streams; }
-  // Whether an engine of that version generates streams and does not leave.
+  // Whether an engine of that version generates streams and does not leave, or
+  // is expected back.
   bool IsVersionServed(const ServiceName& service,
-                       const SoftwareVersion& software) const;
+                       const SoftwareVersion& software, absl::Time now) const;
+  // The record of an engine that did not announce that it leaves is gone.
+  void OnEngineRemoved(const BackendState& engine, absl::Time now);
+  // Engines to be asked whether they are back: a started stream waits for one
+  // of them, and no other can continue it.
+  std::vector<BackendName> EnginesToAsk(absl::Time now);
   // Version of all engines that generate streams of the service, also of those
   // that leave; nullopt if there are several, or no engine.
   std::optional<SoftwareVersion> OnlyVersion(const ServiceName& service) const;
@@ -200,7 +210,8 @@
                        std::vector<StreamDecision>& out);
   // Whether a new stream that is in time and more urgent waits for a place.
   bool HasMoreUrgent(const StreamJob& started) const;
-  // Number of started streams that are served before the stream.
+  // Number of started streams that are served before the stream. Those that
+  // wait for an engine to return take no capacity.
   size_t CountStartedAhead(const StreamJob& job) const;
   void KeepForStarted(const StreamJob& started);
   // Moves streams whose prompt's KV cache has expired to the queue of streams
@@ -232,9 +243,15 @@
   // Whether the engine generates streams and may generate this one.
   bool IsUsable(const BackendState& engine, const StreamJob& job) const;
   bool IsKeptForStarted(const BackendState& engine, const StreamJob& job) const;
-  // Whether an engine that does not leave is left of the version that the job
-  // needs, if it needs one.
-  bool IsVersionServed(const StreamJob& job) const;
+  // The same for the version that the job needs, if it needs one.
+  bool IsVersionServed(const StreamJob& job, absl::Time now) const;
+  // Whether the engine has the version that the job needs, and does not leave.
+  static bool MayContinue(const BackendState& engine, const StreamJob& job);
+  // Whether an engine that may continue the stream is not in doubt. True if any
+  // version may.
+  bool HasReachable(const StreamJob& job) const;
+  // Until when a started stream waits while HasReachable() is false.
+  absl::Time ReturnLimit(const StreamJob& job, absl::Time now) const;
   std::vector<BackendState*> DecodeCandidates(const StreamJob& job,
                                               absl::Time now);
   BackendState* ChooseDecode(const StreamJob& job, Class which, absl::Time now);
@@ -260,6 +277,8 @@
   // or all of a service; with the priority of the most urgent one.
   std::map<std::pair<ServiceName, std::optional<SoftwareVersion>>, int>
       kept_for_started_;
+  // When the last record of an engine of a version was removed.
+  std::map<std::pair<ServiceName, SoftwareVersion>, absl::Time> removed_at_;
   // With a cached prompt; by priority and expiry time.
   std::deque<StreamJob> with_cached_prompt_;
   std::deque<StreamJob> on_time_;  // by priority and due time
--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -65,8 +65,8 @@
   EventHttpServer* server = nullptr;
   // Records where a stream that clients may take up has begun.
   std::function<void(const StreamOrigin&)> record_origin;
-  // Asks a backend server when it started; nullopt if it does not tell. `done`
-  // is called later.
+  // Asks a backend server when it started; 0 if it answers without that,
+  // nullopt if it does not answer. `done` is called later.
   std::function<void(
       const BackendName& backend,
       std::function<void(std::optional<int64_t> born_unix_ms)> done)>
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -108,6 +108,8 @@
   // Logs that the process did not run for some time: it was stopped, or its
   // host had no processor time for it.
   void RecordStall(absl::Time now);
+  // Asks engines that started streams wait for whether they are back.
+  void AskEngines(absl::Time now);
   // Ends quarantined streams. The relay ends only those that wait for
   // placement; running ones were sent already.
   void EndQuarantinedStreams(absl::Time now);
--- a/include/chervilwick/front/outside_protocol.h
+++ b/include/chervilwick/front/outside_protocol.h
@@ -161,9 +161,9 @@
 
   // Asks a backend server for its state.
   virtual HttpRequest ReadServerState(const BackendName& expected) const = 0;
-  // When the server started, in Unix milliseconds, from the answer; nullopt if
-  // it doesn't say.
-  virtual std::optional<int64_t> ParseStart(absl::string_view body) const = 0;
+  // When the server started, in Unix milliseconds, from the answer; 0 if it
+  // doesn't say.
+  virtual int64_t ParseStart(absl::string_view body) const = 0;
 
   virtual HttpRequest ReadStore(StoreSection section,
                                 const std::string& after_key) const = 0;
--- a/include/chervilwick/front/start_queries.h
+++ b/include/chervilwick/front/start_queries.h
@@ -19,7 +19,8 @@
 // server has sent before the call.
 class StartQueries {
  public:
-  // Start in Unix milliseconds; nullopt if the server did not tell.
+  // Start in Unix milliseconds; 0 if the server answers without one, nullopt if
+  // it does not answer.
   using Done = std::function<void(std::optional<int64_t> born_unix_ms)>;
 
   explicit StartQueries(FrontContext& context)
--- a/lib/dispatch/backend_table.cc
+++ b/lib/dispatch/backend_table.cc
@@ -332,6 +332,7 @@
   backend->failures_in_a_row =
       std::max(backend->failures_in_a_row, kToleratedFailures);
   backend->unreachable_at = now;
+  if (!backend->unreachable_since) backend->unreachable_since = now;
   ReportFailure(id, now);
 }
 
@@ -347,6 +348,7 @@
   backend->suspect_until = absl::InfinitePast();
   backend->peer_suspect_until = absl::InfinitePast();
   backend->last_alive = now;
+  backend->unreachable_since.reset();
 }
 
 void BackendTable::ReportSuccess(const BackendName& id, absl::Time now) {
--- a/lib/dispatch/stream_lifecycle.cc
+++ b/lib/dispatch/stream_lifecycle.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kSilenceThreshold = absl::Milliseconds(700);
 // Maximum decode calls of one stream, including refused ones.
 constexpr uint32_t kMaxDecodeSends = 4;
+// The same for sends to engines that could not be reached, of a stream that
+// needs engines of one software version.
+constexpr uint32_t kMaxUnreachableSends = 8;
 // Expected output, as a multiple of the client's estimate.
 constexpr double kOutputMargin = 1.2;
 // A client's timeout for an event is assumed to be the longest of a fixed time
@@ -45,6 +48,8 @@
       return "quarantined";
     case StreamRefusalReason::kVersionGone:
       return "software_version_gone";
+    case StreamRefusalReason::kVersionUnreachable:
+      return "software_version_unreachable";
   }
   return "unknown";
 }
@@ -403,6 +408,10 @@
     --runs_;
     UncountSend();
     ReportUnreachable(decode, now);
+    // Its engines are few. It waits for one that is known to be reachable.
+    if (software_ && ++unreachable_sends_ <= kMaxUnreachableSends) {
+      --decode_sends_;
+    }
   } else {
     services_.backends.ReportFailure(decode, now);
     ReportLost(*step_, StreamStage::kDecode, why == DecodeFailure::kClosed,
--- a/lib/dispatch/stream_scheduler.cc
+++ b/lib/dispatch/stream_scheduler.cc
@@ -27,6 +27,15 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(200);
 // Servers that have crashed are back after some seconds.
 constexpr absl::Duration kRetryAfterVersionGone = absl::Seconds(1);
+// How long a started stream waits for engines of its version that can't be
+// reached, or whose records are missing: those that were only cut off are back
+// by then, and a client waits longer for an event.
+constexpr absl::Duration kReturnTime = absl::Milliseconds(1500);
+// In which an engine that is back answers. Others wait no longer once the
+// return time is over.
+constexpr absl::Duration kAskTime = absl::Milliseconds(250);
+constexpr absl::Duration kAskInterval = absl::Milliseconds(250);
+constexpr size_t kMaxRemovedVersions = 1000;
 // Memory assumed for engines without configured traits.
 constexpr uint64_t kDefaultMemoryTokens = 32768;
 // Range of the delay after a peer's usage update: for a dozen fronts, and one
@@ -185,9 +194,10 @@
 }
 
 size_t StreamScheduler::CountStartedAhead(const StreamJob& job) const {
-  return static_cast<size_t>(std::count_if(
-      started_.begin(), started_.end(),
-      [&](const StreamJob& it) { return it.priority <= job.priority; }));
+  return static_cast<size_t>(
+      std::count_if(started_.begin(), started_.end(), [&](const StreamJob& it) {
+        return it.priority <= job.priority && !it.awaits_return;
+      }));
 }
 
 size_t StreamScheduler::CountAhead(const StreamJob& job) const {
@@ -234,10 +244,13 @@
 
 std::optional<StreamRefusal> StreamScheduler::Submit(StreamJob job,
                                                      absl::Time now) {
-  if (!IsVersionServed(job)) return RefuseVersionGone(job, now);
+  if (!IsVersionServed(job, now)) return RefuseVersionGone(job, now);
   ObserveDemand(job);
+  job.queued_at = now;
   if (job.is_started) {
-    bool has_place = CountAhead(job) == 0 && HasRoom(job, now);
+    job.awaits_return = !HasReachable(job);
+    bool has_place =
+        job.awaits_return || (CountAhead(job) == 0 && HasRoom(job, now));
     absl::Duration wait = has_place ? absl::ZeroDuration()
                                     : ExpectedWait(job, CountAhead(job), now);
     if (now + wait + ServiceTime(job) > job.client_deadline) {
@@ -303,11 +316,22 @@
                                    std::vector<StreamDecision>& out) {
   kept_for_started_.clear();
   for (auto it = started_.begin(); it != started_.end();) {
-    if (!IsVersionServed(*it)) {
+    if (!IsVersionServed(*it, now)) {
       out.push_back(RefuseVersionGone(*it, now));
       it = started_.erase(it);
       continue;
     }
+    it->awaits_return = !HasReachable(*it);
+    if (it->awaits_return) {
+      if (now < ReturnLimit(*it, now)) {
+        ++it;
+        continue;
+      }
+      out.push_back(Refuse(*it, StreamRefusalReason::kVersionUnreachable,
+                           kRetryAfterVersionGone, now));
+      it = started_.erase(it);
+      continue;
+    }
     ServeMoreUrgent(*it, now, out);
     std::optional<StreamPlacement> placement;
     if (!HasMoreUrgent(*it)) placement = Place(*it, Class::kOnTime, now);
@@ -467,20 +491,74 @@
   return job.is_started || !IsKeptForStarted(engine, job);
 }
 
-bool StreamScheduler::IsVersionServed(const StreamJob& job) const {
-  return !job.software || IsVersionServed(job.service, *job.software);
+bool StreamScheduler::MayContinue(const BackendState& engine,
+                                  const StreamJob& job) {
+  return engine.record.service == job.service && !engine.IsLeaving() &&
+         GeneratesStreams(engine) &&
+         (!job.software || IsOfVersion(engine, *job.software));
+}
+
+bool StreamScheduler::IsVersionServed(const StreamJob& job,
+                                      absl::Time now) const {
+  return !job.software || IsVersionServed(job.service, *job.software, now);
 }
 
 bool StreamScheduler::IsVersionServed(const ServiceName& service,
-                                      const SoftwareVersion& software) const {
+                                      const SoftwareVersion& software,
+                                      absl::Time now) const {
+  StreamJob job;
+  job.service = service;
+  job.software = software;
+  bool is_listed =
+      std::any_of(backends_.all().begin(), backends_.all().end(),
+                  [&](const auto& it) { return MayContinue(it.second, job); });
+  if (is_listed) return true;
+  auto removed = removed_at_.find({service, software});
+  return removed != removed_at_.end() && now - removed->second < kReturnTime;
+}
+
+void StreamScheduler::OnEngineRemoved(const BackendState& engine,
+                                      absl::Time now) {
+  // One that could not be reached either is not expected back.
+  if (engine.IsLeaving() || engine.unreachable_since) return;
+  if (!GeneratesStreams(engine) || engine.HasOutdatedRecord()) return;
+  if (removed_at_.size() >= kMaxRemovedVersions) removed_at_.clear();
+  removed_at_[{engine.record.service, engine.record.software}] = now;
+}
+
+bool StreamScheduler::HasReachable(const StreamJob& job) const {
+  if (!job.software) return true;
   return std::any_of(
       backends_.all().begin(), backends_.all().end(), [&](const auto& it) {
-        const BackendRecord& record = it.second.record;
-        return record.service == service && IsOfVersion(it.second, software) &&
-               GeneratesStreams(it.second) && !it.second.IsLeaving();
+        return MayContinue(it.second, job) && !it.second.IsInDoubt();
       });
 }
 
+absl::Time StreamScheduler::ReturnLimit(const StreamJob& job,
+                                        absl::Time now) const {
+  std::optional<absl::Time> since;
+  for (const auto& it : backends_.all()) {
+    if (!MayContinue(it.second, job)) continue;
+    since = std::max(since.value_or(absl::InfinitePast()),
+                     it.second.unreachable_since.value_or(now));
+  }
+  if (!since) return job.queued_at + kReturnTime;
+  return std::max(*since + kReturnTime, job.queued_at + kAskTime);
+}
+
+std::vector<BackendName> StreamScheduler::EnginesToAsk(absl::Time now) {
+  std::set<BackendName> engines;
+  for (const StreamJob& job : started_) {
+    if (HasReachable(job)) continue;
+    for (const auto& it : backends_.all()) {
+      bool is_due = now - it.second.last_asked >= kAskInterval;
+      if (is_due && MayContinue(it.second, job)) engines.insert(it.first);
+    }
+  }
+  for (const BackendName& it : engines) backends_.Find(it)->last_asked = now;
+  return {engines.begin(), engines.end()};
+}
+
 std::optional<SoftwareVersion> StreamScheduler::OnlyVersion(
     const ServiceName& service) const {
   std::optional<SoftwareVersion> only;
@@ -496,7 +574,11 @@
 
 std::vector<BackendState*> StreamScheduler::DecodeCandidates(
     const StreamJob& job, absl::Time now) {
-  auto is_usable = [&](const BackendState& it) { return IsUsable(it, job); };
+  // No prompt is read for an engine that may be gone.
+  bool needs_reachable = job.is_started && job.software;
+  auto is_usable = [&](const BackendState& it) {
+    return IsUsable(it, job) && !(needs_reachable && it.IsInDoubt());
+  };
   std::vector<BackendState*> candidates =
       backends_.Candidates(job.service, is_usable, job.excluded, now);
   if (!candidates.empty()) return candidates;
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -413,6 +413,7 @@
   context_.client.Forget(known->record.endpoint);
   // A server that announced that it leaves did not end because of a request.
   if (!known->IsLeaving()) context_.suspects.ReportServerEnd(id, loop_.Now());
+  context_.scheduler.OnEngineRemoved(*known, loop_.Now());
   context_.backends.Remove(id);
   context_.stats.ForgetBackend(id.value());
 }
@@ -485,6 +486,7 @@
     context_.suspects.ReportServerEnd(it, now);
     context_.stats.ForgetBackend(it.value());
   }
+  AskEngines(now);
   peer_copy_.Tick();
   origins_.Tick();
   if (store_.is_reachable()) crash_records_.Tick();
@@ -503,6 +505,21 @@
   if (shutdown_) CheckShutdown();
 }
 
+void FrontDaemon::AskEngines(absl::Time now) {
+  for (const BackendName& id : context_.scheduler.EnginesToAsk(now)) {
+    start_queries_.Ask(id, [this, id](std::optional<int64_t> born_unix_ms) {
+      absl::Time now = loop_.Now();
+      if (!born_unix_ms) {
+        context_.backends.ReportUnreachable(id, now);
+        return;
+      }
+      context_.backends.ReportStart(id, *born_unix_ms);
+      context_.backends.ReportAlive(id, now);
+      context_.wake_scheduler();
+    });
+  }
+}
+
 void FrontDaemon::EndQuarantinedStreams(absl::Time now) {
   std::vector<StreamRelay*> quarantined;
   for (const auto& it : streams_) {
--- a/lib/front/front_requests.cc
+++ b/lib/front/front_requests.cc
@@ -106,7 +106,8 @@
       [&](const WeightedService& it) { return it.service == origin.service; });
   if (!is_routed) return reject("origin_service_gone");
   admitted.service = origin.service;
-  if (context_.scheduler.IsVersionServed(origin.service, origin.software)) {
+  if (context_.scheduler.IsVersionServed(origin.service, origin.software,
+                                         loop_.Now())) {
     return true;
   }
   // The list of servers may be older than the stream.
--- a/lib/front/start_queries.cc
+++ b/lib/front/start_queries.cc
@@ -63,10 +63,8 @@
           [&](HttpHead& head) { query.status = head.status; },
           [&](HttpBodyPart& part) { absl::StrAppend(&query.body, part.bytes); },
           [&](HttpEnd&) {
-            std::optional<int64_t> born =
-                context_.protocol.ParseStart(query.body);
-            if (query.status == kOk && born) {
-              Finish(backend, born);
+            if (query.status == kOk) {
+              Finish(backend, context_.protocol.ParseStart(query.body));
             } else {
               OnFailed(backend);
             }
--- a/unittests/dispatch/started_streams_test.cc
+++ b/unittests/dispatch/started_streams_test.cc
@@ -227,6 +227,89 @@
   CHECK(fleet.refused == std::vector<uint64_t>{3});
 }
 
+StreamJob StartedAt(const std::string& software, uint64_t id) {
+  StreamJob job = SmallFleet::Started(id, kStart);
+  job.software = SoftwareVersion(software);
+  return job;
+}
+
+TEST_CASE("stream that goes on is sent to engines that can't be reached",
+          "[dispatch]") {
+  SmallFleet fleet(2);
+  fleet.Add(2, "v2");
+  std::vector<BackendName> old = {BackendName("decode0"),
+                                  BackendName("decode1")};
+  for (const BackendName& it : old) fleet.table.ReportUnreachable(it, kStart);
+  CHECK(fleet.scheduler.EnginesToAsk(kStart).empty());
+  CHECK_FALSE(fleet.scheduler.Submit(StartedAt("v1", 1), kStart));
+  CHECK(fleet.Place(kStart).empty());
+  CHECK(fleet.scheduler.EnginesToAsk(kStart) == old);
+  CHECK(fleet.scheduler.EnginesToAsk(kStart).empty());
+  // New streams of the other version don't wait with it.
+  CHECK_FALSE(fleet.scheduler.Submit(SmallFleet::New(2, kStart), kStart));
+  CHECK(fleet.Place(kStart) == std::vector<uint64_t>{2});
+  // The end of an avoidance is no sign of life.
+  absl::Time later = kStart + absl::Milliseconds(1400);
+  CHECK(fleet.Place(later).empty());
+  CHECK(fleet.scheduler.EnginesToAsk(later) == old);
+  fleet.table.ReportAlive(old[1], later);
+  CHECK(fleet.Place(later) == std::vector<uint64_t>{1});
+  CHECK(fleet.placements.back().decode == old[1]);
+  CHECK(fleet.refused.empty());
+}
+
+TEST_CASE("stream waits long for engines that stay unreachable", "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.table.ReportUnreachable(BackendName("decode0"), kStart);
+  CHECK_FALSE(fleet.scheduler.Submit(StartedAt("v1", 1), kStart));
+  absl::Time later = kStart + absl::Milliseconds(1500);
+  CHECK(fleet.Place(later).empty());
+  CHECK(fleet.refused == std::vector<uint64_t>{1});
+  // The next one waits for an answer only.
+  StreamJob next = StartedAt("v1", 2);
+  next.client_deadline = later + absl::Seconds(3);
+  CHECK_FALSE(fleet.scheduler.Submit(next, later));
+  CHECK(fleet.Place(later + absl::Milliseconds(200)).empty());
+  CHECK(fleet.refused.size() == 1);
+  CHECK(fleet.Place(later + absl::Milliseconds(250)).empty());
+  CHECK(fleet.refused.size() == 2);
+}
+
+TEST_CASE("stream is refused while the records of its engines are missing",
+          "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.Add(1, "v2");
+  BackendName engine("decode1");
+  bool is_back = GENERATE(true, false);
+  BackendState removed = *fleet.table.Find(engine);
+  fleet.scheduler.OnEngineRemoved(removed, kStart);
+  fleet.table.Remove(engine);
+  CHECK_FALSE(fleet.scheduler.Submit(StartedAt("v2", 1), kStart));
+  CHECK(fleet.Place(kStart).empty());
+  CHECK(fleet.refused.empty());
+  absl::Time later = kStart + absl::Milliseconds(1500);
+  if (is_back) fleet.table.Upsert(removed.record);
+  CHECK(fleet.Place(later).size() == (is_back ? 1 : 0));
+  CHECK(fleet.refused.size() == (is_back ? 0 : 1));
+}
+
+TEST_CASE("stream waits for engines that are gone for good", "[dispatch]") {
+  SmallFleet fleet(1);
+  fleet.Add(1, "v2");
+  BackendName engine("decode1");
+  if (GENERATE(true, false)) {
+    fleet.table.ReportUnreachable(engine, kStart);
+  } else {
+    fleet.table.ReportLeaving(engine, kStart);
+  }
+  fleet.scheduler.OnEngineRemoved(*fleet.table.Find(engine), kStart);
+  fleet.table.Remove(engine);
+  std::optional<StreamRefusal> refusal =
+      fleet.scheduler.Submit(StartedAt("v2", 1), kStart);
+  REQUIRE(refusal);
+  CHECK(refusal->reason == StreamRefusalReason::kVersionGone);
+}
+
 TEST_CASE("new streams wait for a started one of another version",
           "[dispatch]") {
   SmallFleet fleet(1);
--- a/unittests/dispatch/stream_version_test.cc
+++ b/unittests/dispatch/stream_version_test.cc
@@ -211,18 +211,18 @@
   for (int n = 1; n < 5; ++n) {
     stream.Record("d" + std::to_string(n), kBorn, "v2");
   }
-  CHECK(stream.scheduler.IsVersionServed(kService, old));
+  CHECK(stream.scheduler.IsVersionServed(kService, old, stream.now));
   CHECK(stream.table.ReportStart(engine, kBornLater));
   CHECK_FALSE(stream.table.ReportStart(engine, kBornLater));
-  CHECK_FALSE(stream.scheduler.IsVersionServed(kService, old));
+  CHECK_FALSE(stream.scheduler.IsVersionServed(kService, old, stream.now));
   CHECK_FALSE(stream.scheduler.OnlyVersion(kService));
   // An answer of an earlier start that came late.
   CHECK_FALSE(stream.table.ReportStart(engine, kBorn));
   // A record that is older than what the server stated.
   stream.Record("d0", kBornLater - 1, "v1");
-  CHECK_FALSE(stream.scheduler.IsVersionServed(kService, old));
+  CHECK_FALSE(stream.scheduler.IsVersionServed(kService, old, stream.now));
   stream.Record("d0", kBornLater, "v1");
-  CHECK(stream.scheduler.IsVersionServed(kService, old));
+  CHECK(stream.scheduler.IsVersionServed(kService, old, stream.now));
 }
 
 }  // namespace
--- a/unittests/front/software_versions_test.cc
+++ b/unittests/front/software_versions_test.cc
@@ -475,6 +475,26 @@
   CHECK(taken.open == 0);
 }
 
+TEST_CASE("streams are refused while all servers of their version are away",
+          "[front][software-versions]") {
+  TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
+  std::vector<TwoVersions::Stream> streams = fleet.StartStreams(12);
+  fleet.JoinNewVersion();
+  fleet.RunFor(absl::Milliseconds(300));
+  int prefills = fleet.it.engines.at("p1")->prefills();
+  fleet.RestartOldVersion(absl::Milliseconds(900));
+  fleet.KillFirstFront();
+  fleet.RunFor(absl::Milliseconds(50));
+  std::vector<TwoVersions::Stream> again =
+      fleet.TakeUpEach(streams, absl::Milliseconds(30));
+  fleet.RunFor(absl::Milliseconds(400));
+  // No prompt is read for an engine that can't be reached.
+  CHECK(fleet.it.engines.at("p1")->prefills() - prefills <= 2);
+  TwoVersions::TakenUp taken = fleet.Judge(streams, again);
+  CHECK(taken.joined == 0);
+  CHECK(2 * taken.gone_on >= streams.size());
+}
+
 TEST_CASE("stream goes on at a server that restarted at another version",
           "[front][software-versions]") {
   TwoVersions fleet(TwoVersions::NewVersion::kJoinsLater);
