Changes of servers were learned late while records of streams came in

Cause: records of streams end every front's watch of the store at all times, and a front pauses 0.3 of the drain limit after them, in which it hears of nothing.

Change: a front that reads a change of servers or of the configuration tells its peers the revision, unless it was told before, and a peer that is in the pause after records ends it. The pauses of fronts differ, so that the first one of many reads a change soon. A message of its own, which older fronts skip.

A watch of servers and configuration alone takes a call for each prefix: two idle watches cost as much as the records do now.

--- a/include/chervilwick/front/peer_link.h
+++ b/include/chervilwick/front/peer_link.h
@@ -28,6 +28,9 @@
     std::function<void(const PeerDigest&, const Endpoint& from)> on_digest;
     std::function<void(const std::string& name)> on_lost;
     std::function<void(const OriginNews&, const Endpoint& from)> on_origins;
+    // A peer has read a change of the store that each front has to act on.
+    std::function<void(const StoreRevision&)> on_change =
+        [](const StoreRevision&) {};
   };
 
   PeerLink(FrontContext& context, Listener listener);
@@ -40,6 +43,7 @@
   void AnnounceUse();
   void SendOrigins(const OriginNews& news, const Endpoint& peer);
   void SendOriginsToAll(const OriginNews& news);
+  void SendChangeToAll(const StoreRevision& revision);
   // The live peer that writes the stream's record to the store; nullopt if this
   // front does. Few fronts write, so that many records share a call; all fronts
   // agree on them as far as they know the same ones.
@@ -76,6 +80,7 @@
   bool IsDigestDue(const PeerDigest& digest, absl::Time now) const;
   // Sends changes since the last datagram, or a heartbeat if one is due.
   void SendUpdate(const PeerDigest& state, absl::Time now);
+  std::set<Endpoint> LivePeers() const;
   void Send(const std::string& bytes, const std::set<Endpoint>& targets);
   void ExpireSilentPeers(absl::Time now);
   // No front of that name is at the address any more; it may be at another one.
--- a/include/chervilwick/front/peer_messages.h
+++ b/include/chervilwick/front/peer_messages.h
@@ -70,6 +70,12 @@
   StoreEra era;  // in which the store acknowledged them
 };
 
+// Up to which revision the store has changes that each front has to act on. A
+// message of its own, which older fronts skip.
+std::string EncodeChange(const StoreRevision& revision);
+// Returns nullopt if the bytes are not such a message.
+std::optional<StoreRevision> DecodeChange(absl::string_view bytes);
+
 std::string EncodeOrigins(const OriginNews& news);
 // Returns nullopt if the bytes are not such a message.
 std::optional<OriginNews> DecodeOrigins(absl::string_view bytes);
--- a/include/chervilwick/front/store_sync.h
+++ b/include/chervilwick/front/store_sync.h
@@ -34,6 +34,10 @@
     std::function<void(StoreEra era)> on_returned;
     std::function<void(const CrashedRun&)> on_broken_run;
     std::function<void(const StreamOrigin&)> on_stream_origin;
+    // A change that each front has to act on was read, unless a peer has told
+    // of it before.
+    std::function<void(const StoreRevision&)> on_urgent_change =
+        [](const StoreRevision&) {};
   };
 
   StoreSync(FrontContext& context, Listener listener);
@@ -47,6 +51,9 @@
   StoreRevision revision() const { return {era_, revision_}; }
   absl::Time last_answer() const { return last_answer_; }
 
+  // A peer has read an urgent change. Ends the pause after changes that are not
+  // urgent.
+  void OnPeerChange(const StoreRevision& revision);
   // Encodes the stored items by key, for another front.
   std::string Snapshot() const;
   // Applies another front's copy if it is newer. Returns false if it is
@@ -71,6 +78,7 @@
   void OnAnswer();
   void OnPage();
   void OnWatch();
+  void TellOfChange(const StoreRevision& revision);
   void OnFailure(StoreCallFailure failure);
   void OnTimeout();
   void RecordSuccess(bool has_changes);
@@ -124,6 +132,10 @@
   // The answer that arrives was asked for in an earlier era.
   bool is_answer_outdated_ = false;
   bool has_backends_ = false;
+  // In the pause after changes that are not urgent.
+  bool is_idle_pause_ = false;
+  // Up to which urgent changes this front has told its peers of, or they it.
+  StoreRevision urgent_told_;
   bool is_in_outage_ = false;
   absl::Time last_answer_ = absl::InfinitePast();
   // Entries removed before this time may have expired because of the outage, or
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -131,7 +131,8 @@
               [this](const CrashedRun& it) {
                 MergeCrashNews({{it}, {}}, "store");
               },
-              [this](const StreamOrigin& it) { origins_.Learn(it); }}),
+              [this](const StreamOrigin& it) { origins_.Learn(it); },
+              [this](const StoreRevision& it) { peers_.SendChangeToAll(it); }}),
       peers_(context_,
              {[this] {
                 PeerDigest digest;
@@ -153,7 +154,8 @@
               },
               [this](const OriginNews& it, const Endpoint& from) {
                 origins_.OnNews(it, from);
-              }}),
+              },
+              [this](const StoreRevision& it) { store_.OnPeerChange(it); }}),
       peer_copy_(context_, store_, peers_),
       stages_(context_,
               [this] {
--- a/lib/front/peer_link.cc
+++ b/lib/front/peer_link.cc
@@ -149,6 +149,9 @@
   } else if (std::optional<OriginNews> news = DecodeOrigins(bytes)) {
     ++context_.stats.peer_datagrams_in;
     if (live_peers_.count(from) != 0) listener_.on_origins(*news, from);
+  } else if (std::optional<StoreRevision> change = DecodeChange(bytes)) {
+    ++context_.stats.peer_datagrams_in;
+    if (live_peers_.count(from) != 0) listener_.on_change(*change);
   } else {
     ++context_.stats.peer_datagrams_bad;
   }
@@ -300,9 +303,17 @@
 }
 
 void PeerLink::SendOriginsToAll(const OriginNews& news) {
-  std::set<Endpoint> targets;
-  for (const auto& it : live_peers_) targets.insert(it.first);
-  Send(EncodeOrigins(news), targets);
+  Send(EncodeOrigins(news), LivePeers());
+}
+
+void PeerLink::SendChangeToAll(const StoreRevision& revision) {
+  Send(EncodeChange(revision), LivePeers());
+}
+
+std::set<Endpoint> PeerLink::LivePeers() const {
+  std::set<Endpoint> peers;
+  for (const auto& it : live_peers_) peers.insert(it.first);
+  return peers;
 }
 
 std::optional<Endpoint> PeerLink::RecorderOf(const std::string& attempt) const {
@@ -376,9 +387,7 @@
   update.incarnation = incarnation_;
   update.sequence = ++sequence_;
   update.waiting_streams = state.waiting_streams;
-  std::set<Endpoint> targets;
-  for (const auto& it : live_peers_) targets.insert(it.first);
-  Send(EncodeUpdate(update), targets);
+  Send(EncodeUpdate(update), LivePeers());
   context_.accounts.MarkTold(now);
 }
 
--- a/lib/front/peer_messages.cc
+++ b/lib/front/peer_messages.cc
@@ -12,6 +12,7 @@
 constexpr uint32_t kDigestMagic = 0x63776b37;
 constexpr uint32_t kUpdateMagic = 0x63776b38;
 constexpr uint32_t kOriginsMagic = 0x63776b39;
+constexpr uint32_t kChangeMagic = 0x63776b3a;
 
 struct UseEntry {
   std::string backend;
@@ -227,6 +228,29 @@
 
 }  // namespace
 
+std::string EncodeChange(const StoreRevision& revision) {
+  std::string bytes;
+  BinaryWriter writer(bytes);
+  writer(kChangeMagic, revision.Packed());
+  return bytes;
+}
+
+std::optional<StoreRevision> DecodeChange(absl::string_view bytes) {
+  uint32_t magic = 0;
+  uint64_t revision = 0;
+  try {
+    BinaryReader reader({bytes.data(), bytes.size()});
+    reader(magic);
+    if (magic != kChangeMagic) return std::nullopt;
+    reader(revision);
+    if (reader.Remaining() != 0) return std::nullopt;
+  } catch (const cereal::Exception&) {
+    // The caller counts malformed datagrams.
+    return std::nullopt;
+  }
+  return StoreRevision::FromPacked(revision);
+}
+
 std::string EncodeOrigins(const OriginNews& news) {
   List<OriginEntry> entries;
   for (const StreamOrigin& it : news.origins) {
--- a/lib/front/store_sync.cc
+++ b/lib/front/store_sync.cc
@@ -100,6 +100,7 @@
 }
 
 void StoreSync::Call() {
+  is_idle_pause_ = false;
   auto server = Endpoint::Parse(context_.settings.store);
   HttpRequest request;
   absl::Duration timeout = plan_.ReadTimeout();
@@ -310,21 +311,36 @@
     Reload();
     return;
   }
-  bool is_urgent = false;
+  uint64_t urgent = 0;
   for (const StoreItem& it : page->items) {
     Apply(it);
-    is_urgent = is_urgent || context_.protocol.IsUrgent(it);
+    if (context_.protocol.IsUrgent(it)) urgent = std::max(urgent, it.revision);
   }
   revision_ = page->revision;
+  TellOfChange({era_, urgent});
   if (page->items.empty()) {
     Call();
     return;
   }
-  // Streams wait for the records of servers that have restarted.
-  is_urgent = is_urgent || context_.backends.HasOutdatedRecords();
   // Changes come in bursts. The next call fetches those of the pause together.
+  // Streams wait for the records of servers that have restarted.
+  is_idle_pause_ = urgent == 0 && !context_.backends.HasOutdatedRecords();
   retry_.Arm(context_.settings.drain_limit *
-             (is_urgent ? kBatchingShare : kIdleBatchingShare));
+             (is_idle_pause_ ? kIdleBatchingShare : kBatchingShare));
+}
+
+void StoreSync::TellOfChange(const StoreRevision& revision) {
+  if (revision.number == 0 || revision <= urgent_told_) return;
+  urgent_told_ = revision;
+  listener_.on_urgent_change(revision);
+}
+
+void StoreSync::OnPeerChange(const StoreRevision& revision) {
+  if (revision <= urgent_told_) return;
+  urgent_told_ = revision;
+  if (is_idle_pause_ && this->revision() < revision) {
+    retry_.Arm(absl::ZeroDuration());
+  }
 }
 
 void StoreSync::Apply(const StoreItem& item) {
--- a/unittests/front/peers_test.cc
+++ b/unittests/front/peers_test.cc
@@ -117,7 +117,8 @@
               },
               [this](const OriginNews& it, const Endpoint&) {
                 news.push_back(it);
-              }}) {
+              },
+              [this](const StoreRevision& it) { changes.push_back(it); }}) {
     digest.sender = settings.name;
     REQUIRE(link.Start());
   }
@@ -130,6 +131,7 @@
   int lost = 0;         // peers
   std::vector<std::string> lost_names;
   std::vector<OriginNews> news;
+  std::vector<StoreRevision> changes;
   PeerLink link;
 };
 
@@ -322,5 +324,23 @@
   CHECK_FALSE(DecodeDigest(bytes));
 }
 
+TEST_CASE("change of the store does not reach live peers", "[front][peers]") {
+  TestDeployment deployment;
+  LinkEndpoint local(deployment, deployment.settings);
+  LinkEndpoint remote(deployment, deployment.PeerSettings("front-2"));
+  deployment.loop.RunFor(absl::Seconds(1));
+  REQUIRE(local.link.live_peer_count() == 1);
+  StoreRevision revision{StoreEra(3), 1234};
+  local.link.SendChangeToAll(revision);
+  deployment.loop.RunFor(absl::Milliseconds(20));
+  CHECK(remote.changes == std::vector<StoreRevision>{revision});
+  std::string bytes = EncodeChange(revision);
+  CHECK(DecodeChange(bytes) == revision);
+  CHECK_FALSE(DecodeChange(bytes + "x"));
+  CHECK_FALSE(DecodeChange(bytes.substr(0, bytes.size() - 1)));
+  CHECK_FALSE(DecodeOrigins(bytes));
+  CHECK_FALSE(DecodeDigest(bytes));
+}
+
 }  // namespace
 }  // namespace chervilwick
