--- a/include/chervilwick/dispatch/backend_table.h
+++ b/include/chervilwick/dispatch/backend_table.h
@@ -84,6 +84,14 @@
   // sign of life since.
   bool IsInDoubt() const { return unreachable_since.has_value(); }
   bool IsLeaving() const { return record.draining || announced_leaving; }
+  // Whether it is a model engine that generates streams.
+  bool GeneratesStreams() const {
+    return record.stage != EngineStage::kPrefill;
+  }
+  // Whether the server is known to have that version now.
+  bool IsOfVersion(const SoftwareVersion& software) const {
+    return record.software == software && !HasOutdatedRecord();
+  }
   // Whether the server has started again since its record was written, so that
   // its software version is not known.
   bool HasOutdatedRecord() const {
