Streams that go on were sent to restarted servers until one had answered

What callers saw: on real fronts, 6 of 24 streams that were taken up at once, after two of three servers had restarted at another version, got 502 (retry_budget_used_up).

Cause: all of them were placed before the first answer showed the restarts, some twice, and each wrong run took a retry from the budget.

Change: the chosen engine of a stream that needs a version is asked for its state while the prompt is read. An answer clears doubt only, not failures.

--- a/include/chervilwick/front/front_context.h
+++ b/include/chervilwick/front/front_context.h
@@ -71,6 +71,8 @@
       const BackendName& backend,
       std::function<void(std::optional<int64_t> born_unix_ms)> done)>
       ask_start;
+  // Asks an engine whether it can be reached and has restarted, and records it.
+  std::function<void(const BackendName& engine)> check_engine;
   // Requests a scheduling round without delay.
   std::function<void()> wake_scheduler;
   // Route of that name in the configuration in force; null if there is none.
--- a/include/chervilwick/front/front_daemon.h
+++ b/include/chervilwick/front/front_daemon.h
@@ -110,6 +110,8 @@
   void RecordStall(absl::Time now);
   // Asks engines that started streams wait for whether they are back.
   void AskEngines(absl::Time now);
+  // Asks an engine for its state, and records what that shows.
+  void CheckEngine(const BackendName& engine);
   // Ends quarantined streams. The relay ends only those that wait for
   // placement; running ones were sent already.
   void EndQuarantinedStreams(absl::Time now);
--- a/lib/front/front_daemon.cc
+++ b/lib/front/front_daemon.cc
@@ -206,6 +206,7 @@
                               StartQueries::Done done) {
     start_queries_.Ask(backend, std::move(done));
   };
+  context_.check_engine = [this](const BackendName& it) { CheckEngine(it); };
   context_.wake_scheduler = [this] { WakeScheduler(absl::ZeroDuration()); };
   context_.current_route = [this](const std::string& name) {
     return table_.FindByName(name);
@@ -508,20 +509,28 @@
 }
 
 void FrontDaemon::AskEngines(absl::Time now) {
-  for (const BackendName& id : context_.scheduler.EnginesToAsk(now)) {
-    start_queries_.Ask(id, [this, id](std::optional<int64_t> born_unix_ms) {
-      absl::Time now = loop_.Now();
-      if (!born_unix_ms) {
-        context_.backends.ReportUnreachable(id, now);
-        return;
-      }
-      context_.backends.ReportStart(id, *born_unix_ms);
-      context_.backends.ReportAlive(id, now);
-      context_.wake_scheduler();
-    });
+  for (const BackendName& it : context_.scheduler.EnginesToAsk(now)) {
+    CheckEngine(it);
   }
 }
 
+void FrontDaemon::CheckEngine(const BackendName& engine) {
+  auto done = [this, engine](std::optional<int64_t> born_unix_ms) {
+    absl::Time now = loop_.Now();
+    if (!born_unix_ms) {
+      context_.backends.ReportUnreachable(engine, now);
+      return;
+    }
+    context_.backends.ReportStart(engine, *born_unix_ms);
+    // An engine that answers may fail requests all the same.
+    const BackendState* known = context_.backends.Find(engine);
+    if (known == nullptr || !known->IsInDoubt()) return;
+    context_.backends.ReportAlive(engine, now);
+    context_.wake_scheduler();
+  };
+  start_queries_.Ask(engine, std::move(done));
+}
+
 void FrontDaemon::EndQuarantinedStreams(absl::Time now) {
   std::vector<StreamRelay*> quarantined;
   for (const auto& it : streams_) {
--- a/lib/front/stream_relay.cc
+++ b/lib/front/stream_relay.cc
@@ -213,6 +213,11 @@
        {"list_age_ms", context().store_age()},
        {"waited_ms", placement.waited},
        {"prefill_ms", placement.prefill_estimate}});
+  // The answer comes while the prompt is read. A send to an engine that can't
+  // continue the stream would be one of few.
+  if (placement.prefill && lifecycle_.software()) {
+    context().check_engine(placement.decode);
+  }
   lifecycle_.OnPlaced(placement, Now());
 }
 
