Case of streams that are taken up, on real fronts

Forms of the users' report: servers start again under their ids at another version after or before streams begin, and one front's path to the store hangs. The stand-ins state their starts, as the platform's servers do.

--- a/review/lib-2/stand.py
+++ b/review/lib-2/stand.py
@@ -227,6 +227,8 @@
 class Engine(Server):
     """What model engines and plain services have in common."""
 
+    version = "v1"  # of its software
+
     def __init__(self, bed, name, service, stage="", slots=6, waiting=24):
         super().__init__()
         self.bed, self.record, self.name = bed, bed.record, name
@@ -239,7 +241,7 @@
 
     def entry(self):
         it = {"service": self.service, "addr": "%s:%d" % self.address, "zone": "kigali-a",
-              "version": "v1", "slots": self.slots, "state": self.state, "cold_left_ms": 0,
+              "version": self.version, "slots": self.slots, "state": self.state, "cold_left_ms": 0,
               "seq": 1, "born": self.born}
         if self.stage:
             it.update(stage=self.stage, models=[{"name": "m", "version": 1, "adapters": []}])
@@ -312,7 +314,9 @@
     async def control(self, method, target, headers, body, writer):
         """Orders, reservations, and what is given back."""
         status = 202 if target == "/chervilwick/order" else 200
-        answer = {"hold": os.urandom(6).hex()} if target == "/chervilwick/hold-take" else {}
+        answer = {"born": self.born}
+        if target == "/chervilwick/hold-take":
+            answer = {"hold": os.urandom(6).hex()}
         writer.write(encode(f"HTTP/1.1 {status} x", self.fields(headers),
                             json.dumps(answer).encode()))
         return False
@@ -342,7 +346,8 @@
                 "listen": {it: at(it) for it in ("front", "ready", "control")},
                 "limits": {"memory_mb": self.memory_mb, "max_fds": 4100},
                 "bounds": {**BOUNDS, **self.bed.bounds},
-                "platform": {"addr": "%s:%d" % self.bed.store_address}}
+                "platform": {"addr": "%s:%d" % self.bed.store_paths.get(
+                    self.name, self.bed.store_address)}}
 
     async def start(self):
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -422,6 +427,7 @@
         self.shown_events = set()  # of the fronts' logs, for the record
         self.seeds = []  # in place of the first fronts
         self.bounds = {}  # in place of those of BOUNDS
+        self.store_paths = {}  # addresses at which fronts find the store, by their names
         ports = random.sample(range(20000, 30000, 2), 5)
         self.ports = dict(zip(("front", "ready", "control", "peers"), ports))
         self.store = Store(self.record)
