Questions to silent servers were sent again late while others failed

The timer for questions that are sent again was set anew by each failure, so that failures of many servers in a row put off the calls that waited already, and with them the streams that wait for an answer. Found by reading; no case shows it.

The timer is set only if it is not running. The cases [starts] and [software-versions] pass.

--- a/include/chervilwick/front/start_queries.h
+++ b/include/chervilwick/front/start_queries.h
@@ -46,6 +46,7 @@
 
   FrontContext& context_;
   Timer retry_;
+  bool is_retry_armed_ = false;
   std::map<BackendName, Query> queries_;
 };
 
--- a/lib/front/start_queries.cc
+++ b/lib/front/start_queries.cc
@@ -28,6 +28,7 @@
 }
 
 void StartQueries::SendAgain() {
+  is_retry_armed_ = false;
   std::vector<BackendName> due;
   for (const auto& it : queries_) {
     if (!it.second.is_open) due.push_back(it.first);
@@ -81,7 +82,8 @@
     return;
   }
   query.is_open = false;
-  retry_.Arm(kRetryDelay);
+  // Later failures must not delay the calls that wait already.
+  if (!std::exchange(is_retry_armed_, true)) retry_.Arm(kRetryDelay);
 }
 
 void StartQueries::Finish(const BackendName& backend,
